--- /dev/null
+++ b/src/ramptide/admin.py
@@ -0,0 +1,161 @@
+"""The administration API on the peer address: settings, status and metrics."""
+
+from collections.abc import Callable, Iterator
+from typing import TYPE_CHECKING, Any
+
+from ramptide import __version__, wire
+from ramptide.context import JSON
+from ramptide.desk import error
+from ramptide.records import SETTINGS
+from ramptide.settings import BOUNDS, BadSettings, Tuning
+from ramptide.store import Outcome, Txn
+
+if TYPE_CHECKING:
+    from prometheus_client.core import Metric
+
+    from ramptide.app import Controller
+
+SETTINGS_PATH, STATUS_PATH, METRICS_PATH = "/admin/settings", "/admin/status", "/metrics"
+
+Answer = Callable[[int, bytes, str], None]
+
+
+class Admin:
+    def __init__(self, controller: "Controller") -> None:
+        self._c = controller
+
+    def handle(self, method: str, path: str, body: bytes, answer: Answer) -> bool:
+        """Answers a call to this API; False when the path is not one of it."""
+        calls: dict[str, dict[str, Callable[[bytes, Answer], None]]] = {
+            SETTINGS_PATH: {"GET": self._settings, "PATCH": self._change},
+            STATUS_PATH: {"GET": self._status},
+            METRICS_PATH: {"GET": self._metrics},
+        }
+        if path not in calls:
+            return False
+        call = calls[path].get(method)
+        if call is None:
+            answer(405, error("method not allowed"), JSON)
+        else:
+            call(body, answer)
+        return True
+
+    def _settings(self, body: bytes, answer: Answer) -> None:
+        now, defaults = self._c.tuning.to_value(), Tuning().to_value()
+        answer(
+            200,
+            wire.encode(
+                {
+                    name: {
+                        "value": now[name],
+                        "default": defaults[name],
+                        "low": bound.low,
+                        "high": bound.high,
+                        "text": bound.text,
+                    }
+                    for name, bound in BOUNDS.items()
+                }
+            ),
+            JSON,
+        )
+
+    def _change(self, body: bytes, answer: Answer) -> None:
+        try:
+            changes = wire.decode(body)
+            tuning = self._c.tuning.changed(changes)
+        except (wire.BadMessage, BadSettings) as problem:
+            answer(400, error(str(problem)), JSON)
+            return
+        defaults = Tuning().to_value()
+        value = {name: one for name, one in tuning.to_value().items() if one != defaults[name]}
+        txn = Txn(when={SETTINGS: self._c.mirror.stamp(SETTINGS)}, puts=[(SETTINGS, value, None)])
+
+        def done(outcome: Outcome) -> None:
+            if outcome.epoch is not None:
+                self._c.mirror.applied(outcome.epoch, txn.puts, txn.drops)
+                self._settings(b"", answer)
+            elif outcome.failed is not None:
+                answer(409, error("the settings were changed meanwhile"), JSON)
+            else:
+                answer(503, error("the state service does not answer"), JSON)
+
+        self._c.store.txn(txn, done)
+
+    def _status(self, body: bytes, answer: Answer) -> None:
+        c = self._c
+        view = c.view
+        fleet = c.leader.fleet
+        status: dict[str, Any] = {
+            "version": __version__,
+            "member": c.member,
+            "state": c.membership.state.name.lower(),
+            "state_service": c.mirror.state.name.lower(),
+            "view": None
+            if view is None
+            else {"number": view.number, "leader": view.leader, "members": sorted(view.members), "settled": c.latched},
+            "counts": {
+                "trigger": fleet.trigger.name.lower(),
+                "waiting": fleet.waiting,
+                "long_waiting": fleet.long_waiting,
+                "pool": fleet.pool,
+            },
+            "machines": {
+                name: {
+                    "flavor": record.flavor,
+                    "yard": record.yard,
+                    "spot": record.spot,
+                    "leaving": record.leaving,
+                    "up": name in c.floor and c.floor[name].up,
+                    "tasks": len(c.floor[name].tasks) if name in c.floor else 0,
+                }
+                for name, record in c.machines.items()
+            },
+            "jobs": {
+                ref: {
+                    "class": job.run.job_class,
+                    "team": job.run.team,
+                    "home": job.record.home,
+                    "pieces": job.run.pieces,
+                    "done": job.progress.count,
+                }
+                for ref, job in c.jobs.items()
+            },
+        }
+        answer(200, wire.encode(status), JSON)
+
+    def _metrics(self, body: bytes, answer: Answer) -> None:
+        # Imported on the first call: it would double the time that a start takes.
+        from prometheus_client import CONTENT_TYPE_LATEST, CollectorRegistry, generate_latest
+
+        registry = CollectorRegistry()
+        registry.register(self)
+        answer(200, generate_latest(registry), CONTENT_TYPE_LATEST)
+
+    def collect(self) -> "Iterator[Metric]":
+        """The metrics as they stand (called by the registry)."""
+        from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+
+        c = self._c
+        gauges = {
+            "view": (c.view.number if c.view is not None else 0, "number of the view"),
+            "leading": (int(c.membership.leading), "1 on the leading controller"),
+            "settled": (int(c.latched), "1 when all machines are settled in this view"),
+            "state_service_lacking": (int(c.mirror.lacking), "1 while the state service does not answer"),
+            "jobs": (len(c.jobs), "jobs that are not over"),
+            "machines": (len(c.machines), "machines in the fleet record"),
+            "machines_up": (sum(host.up for host in c.floor.values()), "machines that report"),
+            "waiting_tasks": (c.leader.fleet.waiting, "waiting tasks without room, as the leader counts"),
+            "long_waiting_tasks": (c.leader.fleet.long_waiting, "long-waiting tasks, as the leader counts"),
+            "pool_machines": (len(c.leader.fleet.pool), "idle machines kept ready"),
+        }
+        for name, (value, text) in gauges.items():
+            yield GaugeMetricFamily(f"ramptide_{name}", text, value=value)
+        texts = {
+            "starts": "task starts decided here",
+            "rentals": "machines rented",
+            "returns": "machines returned",
+            "requests": "requests of users",
+            "reports": "reports of workers",
+        }
+        for name, text in texts.items():
+            yield CounterMetricFamily(f"ramptide_{name}", text, value=c.counters[name])
--- /dev/null
+++ b/src/ramptide/cloud.py
@@ -0,0 +1,101 @@
+"""The client of the cloud: machine types, rentals, returns and the list."""
+
+import logging
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+from urllib.parse import urlencode
+
+from ramptide import wire
+from ramptide.context import JSON, Context, Reply
+from ramptide.limits import Bucket, Gate, Rank
+
+log = logging.getLogger(__name__)
+
+PATIENCE = timedelta(seconds=10)
+TIMEOUT = timedelta(seconds=5)
+PAGE = 500
+RETURN_MOST = 100
+
+
+class Cloud:
+    def __init__(self, context: Context, address: str, limits: wire.CloudLimits, nodes: int) -> None:
+        self._context = context
+        self._address = address
+        # Only the leader rents and lists; the others ask for the machine types now and then.
+        rate = limits.rps * (0.9 if nodes == 1 else 0.7)
+        self._gate = Gate(context, Bucket(rate, rate))
+
+    def _call(
+        self, rank: Rank, method: str, target: str, body: bytes, done: Callable[[Reply | None], None]
+    ) -> None:
+        def answered(reply: Reply | None) -> None:
+            if reply is not None and reply.status == 429:
+                self._gate.overloaded()
+            done(reply)
+
+        self._gate.ask(
+            rank,
+            0,
+            PATIENCE,
+            lambda: self._context.call(self._address, method, target, body, JSON, TIMEOUT, answered),
+            lambda: done(None),
+        )
+
+    def flavors(self, done: Callable[[list[wire.Flavor] | None], None]) -> None:
+        self._call(Rank.READ, "GET", wire.FLAVORS, b"", lambda reply: done(_read(wire.decode_flavors, reply)))
+
+    def rent(
+        self, name: str, flavor: str, yard: str, spot: bool, done: Callable[[list[str] | None, bool], None]
+    ) -> None:
+        """`done(hosts, refused)`: hosts is None when there is no answer; refused when there is no capacity."""
+
+        def answered(reply: Reply | None) -> None:
+            refused = reply is not None and (
+                reply.status == 400 or reply.status == 503 and b"no capacity" in reply.body
+            )
+            done(_read(wire.decode_hired, reply), refused)
+
+        self._call(Rank.COMMIT, "POST", wire.RENTALS, wire.encode_hire(name, flavor, yard, spot, 1), answered)
+
+    def give_back(self, hosts: list[str], done: Callable[[bool], None]) -> None:
+        """`done(True)` proves that the machines and all on them are gone."""
+        self._call(
+            Rank.COMMIT,
+            "POST",
+            wire.RETURN,
+            wire.encode_return(hosts),
+            lambda reply: done(reply is not None and reply.status == 200),
+        )
+
+    def rented(self, done: Callable[[list[wire.Rented] | None], None]) -> None:
+        """The whole list, or None when a page of it could not be read."""
+        found: list[wire.Rented] = []
+
+        def page(since: str | None) -> None:
+            query = {"limit": str(PAGE)} | ({"since": since} if since else {})
+
+            def answered(reply: Reply | None) -> None:
+                answer = _read(wire.decode_rented, reply)
+                if answer is None:
+                    done(None)
+                    return
+                found.extend(answer.hosts)
+                if answer.more and answer.hosts:
+                    page(answer.hosts[-1].ref)
+                else:
+                    done(found)
+
+            self._call(Rank.HOUSEKEEPING, "GET", f"{wire.RENTALS}?{urlencode(query)}", b"", answered)
+
+        page(None)
+
+
+def _read(decode: Callable[[bytes], Any], reply: Reply | None) -> Any:
+    if reply is None or reply.status != 200:
+        return None
+    try:
+        return decode(reply.body)
+    except wire.BadMessage as error:
+        log.error("broken answer of the cloud: %s", error)
+        return None
--- /dev/null
+++ b/src/ramptide/context.py
@@ -0,0 +1,40 @@
+"""What the cores may ask of the world. The real one stands on the loop; tests bring a virtual one."""
+
+import random
+from collections.abc import Callable
+from datetime import datetime, timedelta
+from typing import Protocol
+
+JSON = "application/json"
+CBOR = "application/cbor"
+
+
+class Reply(Protocol):
+    """What is read of a response."""
+
+    status: int
+    body: bytes
+
+
+class Handle(Protocol):
+    def cancel(self) -> None: ...
+
+
+Done = Callable[[Reply | None], None]
+
+
+class Context(Protocol):
+    """Time, chance and calls. `now` is steady time and stands still during an event."""
+
+    rng: random.Random
+
+    @property
+    def now(self) -> timedelta: ...
+
+    def wall(self) -> datetime: ...
+
+    def after(self, delay: timedelta, action: Callable[[], None]) -> Handle: ...
+
+    def call(
+        self, address: str, method: str, target: str, body: bytes, kind: str, timeout: timedelta, done: Done
+    ) -> None: ...
--- /dev/null
+++ b/src/ramptide/fleet.py
@@ -0,0 +1,267 @@
+"""The leader's fleet: the two counts and their window, one rental per step, the idle pool, the cooldown.
+
+Pure: `Fleet.step` is given what is known and says what to rent and what to return.
+"""
+
+import logging
+from collections import Counter
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from datetime import timedelta
+from enum import Enum, auto
+
+from ramptide import wire
+from ramptide.placement import Room, fill, holds, may_use
+from ramptide.records import MachineRecord
+from ramptide.settings import Tuning
+
+log = logging.getLogger(__name__)
+
+ZERO = timedelta(0)
+HOUR = timedelta(hours=1)
+REFUSED_FIRST = timedelta(seconds=5)
+REFUSED_MOST = timedelta(seconds=40)
+
+Kind = tuple[str, str, bool]
+
+
+@dataclass(slots=True)
+class Machine:
+    """What the leader knows of a rented machine."""
+
+    host: str
+    record: MachineRecord
+    flavor: wire.Flavor | None
+    up: bool
+    age: timedelta
+    silent: timedelta
+    notice: timedelta | None
+    failing: int
+    tasks: int
+    room: Room | None
+    drained: bool
+    listed: str | None = None
+    known: bool = True
+
+
+@dataclass(slots=True)
+class Demand:
+    """Tasks of one job that wait and that its team's limit lets run."""
+
+    run: wire.Run
+    tasks: int
+    waited: timedelta
+    placed: Counter[str]
+
+
+class Trigger(Enum):
+    QUIET = auto()
+    RISING = auto()
+    HIGH = auto()
+
+
+@dataclass(slots=True)
+class Plan:
+    """What a step decided."""
+
+    rent: Kind | None = None
+    leave: dict[str, str] = field(default_factory=dict)
+    stay: list[str] = field(default_factory=list)
+    give_back: list[str] = field(default_factory=list)
+
+
+class Fleet:
+    def __init__(self, tuning: Tuning, report: timedelta, lease: timedelta) -> None:
+        self.tuning = tuning
+        self._report = report
+        self._lease = lease
+        self.trigger = Trigger.QUIET
+        self._since = ZERO
+        self._quiet_since = ZERO
+        self._idle_since: dict[str, timedelta] = {}
+        self._refused: dict[Kind, tuple[timedelta, timedelta]] = {}
+        self._popular: Counter[str] = Counter()
+        self.waiting = 0
+        self.long_waiting = 0
+        self.pool: list[str] = []
+
+    # Signals.
+
+    def refused(self, kind: Kind, now: timedelta) -> None:
+        """No capacity: this type, zone and kind is left alone for a while, longer each time."""
+        pause = min(self._refused.get(kind, (ZERO, REFUSED_FIRST / 2))[1] * 2, REFUSED_MOST)
+        self._refused[kind] = (now + pause, pause)
+
+    def rented(self, kind: Kind) -> None:
+        self._refused.pop(kind, None)
+
+    def used(self, image: str) -> None:
+        self._popular[image] += 1
+        if sum(self._popular.values()) > 400:
+            self._popular = Counter({name: count // 2 for name, count in self._popular.items() if count > 1})
+
+    def _count(self, demands: list[Demand], machines: list[Machine]) -> list[Demand]:
+        """The two counts: waiting tasks that find no free room, less what boots; returns the uncovered demands."""
+        rooms = [m.room for m in machines if m.room is not None]
+        rooms += [
+            Room(m.host, m.flavor.name, m.record.yard, m.record.spot, m.flavor.cores, m.flavor.cards, m.flavor.ram_gb)
+            for m in machines
+            if not m.up and m.flavor is not None and m.record.leaving is None
+        ]
+        self.waiting = self.long_waiting = 0
+        uncovered = []
+        for demand in demands:
+            left = demand.tasks - fill(demand.run, demand.tasks, rooms, demand.placed)
+            if left > 0:
+                self.waiting += left
+                if demand.waited > self.tuning.long_wait:
+                    self.long_waiting += left
+                uncovered.append(Demand(demand.run, left, demand.waited, demand.placed))
+        return uncovered
+
+    def _watch(self, now: timedelta) -> None:
+        high = self.waiting >= self.tuning.waiting_high or self.long_waiting >= self.tuning.long_waiting_high
+        if not high:
+            if self.trigger is not Trigger.QUIET:
+                self._become(Trigger.QUIET, now)
+                self._quiet_since = now
+        elif self.trigger is Trigger.QUIET:
+            self._become(Trigger.RISING, now)
+        if self.trigger is Trigger.RISING and now - self._since >= self.tuning.window:
+            self._become(Trigger.HIGH, now)
+
+    def _become(self, trigger: Trigger, now: timedelta) -> None:
+        log.debug("trigger %s: %d wait, %d for long", trigger.name.lower(), self.waiting, self.long_waiting)
+        self.trigger = trigger
+        self._since = now
+
+    # Decisions.
+
+    def step(
+        self,
+        now: timedelta,
+        demands: list[Demand],
+        machines: list[Machine],
+        flavors: Iterable[wire.Flavor],
+        may_rent: bool,
+    ) -> Plan:
+        plan = Plan()
+        uncovered = self._count(demands, machines)
+        self._watch(now)
+        self._mind(now, machines, plan)
+        self._keep_pool(now, machines)
+        if may_rent:
+            if self.trigger is Trigger.HIGH:
+                plan.rent = self._cheapest(now, uncovered, flavors)
+            elif self.trigger is Trigger.QUIET and self._pool_short(machines):
+                plan.rent = self._pool_kind(now, demands, flavors)
+        self._cool_down(now, machines, plan)
+        return plan
+
+    def _mind(self, now: timedelta, machines: list[Machine], plan: Plan) -> None:
+        """Machines that never boot, fell silent, fail what they get or are about to be taken leave."""
+        for machine in machines:
+            leaving = machine.record.leaving
+            boot = timedelta(seconds=machine.flavor.boot_s) if machine.flavor is not None else timedelta(minutes=1)
+            reason = None
+            if machine.notice is not None and machine.notice < self._report / 2:
+                reason = "taken"
+            elif machine.listed == "failed" or not machine.known:
+                reason = "gone"
+            elif machine.failing >= self.tuning.sick_jobs:
+                reason = "sick"
+            elif not machine.up and machine.age > boot * self.tuning.boot_factor + timedelta(seconds=20):
+                reason = "never up"
+            elif (machine.up or machine.listed == "running" and machine.age > boot) and (
+                machine.silent > self._lease * self.tuning.silent_leases
+            ):
+                reason = "silent"
+            if reason is not None and leaving in (None, "idle"):
+                plan.leave[machine.host] = reason
+            elif leaving is not None:
+                self._see_off(machine, leaving, reason, plan)
+
+    def _see_off(self, machine: Machine, leaving: str, reason: str | None, plan: Plan) -> None:
+        dead = leaving in ("gone", "silent", "never up", "taken")
+        if dead or machine.drained or machine.silent > self._lease * self.tuning.silent_leases:
+            plan.give_back.append(machine.host)
+        elif leaving == "idle" and machine.tasks:
+            plan.stay.append(machine.host)
+
+    def _keep_pool(self, now: timedelta, machines: list[Machine]) -> None:
+        """The idle machines kept are those that hold the images most used of late."""
+        idle = {
+            m.host: m
+            for m in machines
+            if m.up and not m.tasks and m.room is not None and m.record.leaving is None
+        }
+        self._idle_since = {host: self._idle_since.get(host, now) for host in idle}
+
+        def worth(host: str) -> tuple[bool, int, float, str]:
+            machine = idle[host]
+            assert machine.room is not None
+            images = sum(self._popular[image] for image in machine.room.images)
+            price = machine.flavor.price if machine.flavor is not None else 0.0
+            return (machine.record.spot, -images, price, host)
+
+        self.pool = sorted(idle, key=worth)[: self.tuning.pool_size]
+
+    def _pool_short(self, machines: list[Machine]) -> bool:
+        booting = sum(not m.up and m.record.leaving is None for m in machines)
+        return len(self.pool) + booting < self.tuning.pool_size
+
+    def _cool_down(self, now: timedelta, machines: list[Machine], plan: Plan) -> None:
+        if self.trigger is not Trigger.QUIET or now - self._quiet_since < self.tuning.cooldown:
+            return
+        for machine in machines:
+            since = self._idle_since.get(machine.host)
+            if since is None or machine.host in self.pool or now - since < self.tuning.cooldown:
+                continue
+            if machine.host not in plan.leave:
+                plan.leave[machine.host] = "idle"
+
+    def _kinds(self, now: timedelta, flavors: Iterable[wire.Flavor]) -> Iterable[tuple[wire.Flavor, str, bool, float]]:
+        for flavor in flavors:
+            for yard in flavor.yards:
+                for spot, price in ((True, flavor.spot_price), (False, flavor.price)):
+                    if self._refused.get((flavor.name, yard, spot), (ZERO, ZERO))[0] <= now:
+                        yield flavor, yard, spot, price
+
+    def _cheapest(self, now: timedelta, uncovered: list[Demand], flavors: Iterable[wire.Flavor]) -> Kind | None:
+        """The kind with the lowest price for the work that it would take, its boot included."""
+        best: tuple[float, Kind] | None = None
+        for flavor, yard, spot, price in self._kinds(now, flavors):
+            room = Room("", flavor.name, yard, spot, flavor.cores, flavor.cards, flavor.ram_gb)
+            boot = timedelta(seconds=flavor.boot_s)
+            work = 0.0
+            for demand in uncovered:
+                taken = fill(demand.run, demand.tasks, [room], demand.placed)
+                size = max(demand.run.cores / flavor.cores, demand.run.ram_gb / max(flavor.ram_gb, 1e-9))
+                size = max(size, demand.run.cards / flavor.cards if flavor.cards else 0.0)
+                work += taken * self._weight(demand.run, flavor, size)
+            if work <= 0:
+                continue
+            cost = price * ((boot + self.tuning.horizon) / self.tuning.horizon) / work
+            if best is None or cost < best[0]:
+                best = (cost, (flavor.name, yard, spot))
+        return best[1] if best is not None else None
+
+    @staticmethod
+    def _weight(run: wire.Run, flavor: wire.Flavor, size: float) -> float:
+        """Work counts by what it would cost at the type's own size, so that types compare fairly."""
+        return max(run.cores, run.ram_gb * flavor.cores / max(flavor.ram_gb, 1e-9) * 0.25, size * 1e-3)
+
+    def _pool_kind(self, now: timedelta, demands: list[Demand], flavors: Iterable[wire.Flavor]) -> Kind | None:
+        """For the pool: the cheapest ordinary machine."""
+        kinds = [
+            (price, (flavor.name, yard, spot)) for flavor, yard, spot, price in self._kinds(now, flavors) if not spot
+        ]
+        return min(kinds)[1] if kinds else None
+
+
+def usable_kinds(run: wire.Run, flavors: Mapping[str, wire.Flavor]) -> bool:
+    """Some type would take the job's tasks."""
+    return any(
+        holds(run, flavor) and any(may_use(run, flavor.name, yard, False) for yard in flavor.yards)
+        for flavor in flavors.values()
+    )
--- /dev/null
+++ b/src/ramptide/limits.py
@@ -0,0 +1,105 @@
+"""Token buckets for calls to the state service and the cloud, with classes that go first."""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import IntEnum
+
+from ramptide.context import Context, Handle
+
+ZERO = timedelta(0)
+SECOND = timedelta(seconds=1)
+
+
+class Rank(IntEnum):
+    """Who goes first when tokens are short."""
+
+    COMMIT = 0
+    READ = 1
+    HOUSEKEEPING = 2
+
+
+class Bucket:
+    """Tokens come at `rate` a second up to `burst`; an amount above the burst waits for a full bucket."""
+
+    def __init__(self, rate: float, burst: float) -> None:
+        self.rate = rate
+        self.burst = max(burst, 1.0)
+        self._level = self.burst
+        self._at = ZERO
+
+    def wait(self, now: timedelta, amount: float) -> timedelta:
+        """How long until `amount` can be taken."""
+        self._level = min(self.burst, self._level + self.rate * ((now - self._at) / SECOND))
+        self._at = now
+        short = min(amount, self.burst) - self._level
+        return ZERO if short <= 1e-9 else SECOND * (short / self.rate)
+
+    def take(self, amount: float) -> None:
+        self._level -= amount
+
+    def drain(self) -> None:
+        """The service says that it had too much."""
+        self._level = min(self._level, 0.0)
+
+
+@dataclass(slots=True)
+class _Waiting:
+    until: timedelta
+    writes: int
+    go: Callable[[], None]
+    refuse: Callable[[], None]
+
+
+class Gate:
+    """Lets calls through as the buckets allow; what waits past its patience is refused."""
+
+    def __init__(self, context: Context, calls: Bucket, writes: Bucket | None = None) -> None:
+        self._context = context
+        self._calls = calls
+        self._writes = writes
+        self._queues: dict[Rank, deque[_Waiting]] = {rank: deque() for rank in Rank}
+        self._timer: Handle | None = None
+
+    def ask(
+        self, rank: Rank, writes: int, patience: timedelta, go: Callable[[], None], refuse: Callable[[], None]
+    ) -> None:
+        self._queues[rank].append(_Waiting(self._context.now + patience, writes, go, refuse))
+        self._drain()
+
+    def overloaded(self) -> None:
+        self._calls.drain()
+        if self._writes is not None:
+            self._writes.drain()
+
+    def _wait(self, item: _Waiting) -> timedelta:
+        now = self._context.now
+        wait = self._calls.wait(now, 1)
+        if item.writes and self._writes is not None:
+            wait = max(wait, self._writes.wait(now, item.writes))
+        return wait
+
+    def _drain(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        soonest: timedelta | None = None
+        for queue in self._queues.values():
+            while queue:
+                item = queue[0]
+                if item.until < self._context.now:
+                    queue.popleft()
+                    item.refuse()
+                    continue
+                wait = self._wait(item)
+                if wait > ZERO:
+                    soonest = wait if soonest is None else min(soonest, wait)
+                    break
+                queue.popleft()
+                self._calls.take(1)
+                if self._writes is not None:
+                    self._writes.take(item.writes)
+                item.go()
+        if soonest is not None:
+            self._timer = self._context.after(max(soonest, timedelta(milliseconds=2)), self._drain)
--- /dev/null
+++ b/src/ramptide/membership.py
@@ -0,0 +1,231 @@
+"""Who belongs to the service, who leads it, and the numbered views that everything else is conditional on."""
+
+import hashlib
+import logging
+from collections.abc import Callable
+from datetime import timedelta
+from enum import Enum, auto
+from typing import Any
+
+import msgspec
+
+from ramptide.mirror import Mirror
+from ramptide.store import Outcome, Store, Txn
+
+log = logging.getLogger(__name__)
+
+VIEW = "live/view"
+LEADER = "live/leader"
+MEMBER = "live/member/"
+LIFE = timedelta(seconds=4)
+TOUCH = timedelta(seconds=0.9)
+STEP = timedelta(seconds=0.25)
+GATHER = timedelta(seconds=1)
+
+
+class View(msgspec.Struct, frozen=True):
+    """A numbered set of members. The number is the token of the workers' commands.
+
+    `lingering` holds members of earlier views of which nobody has proof that they ended: until their
+    authority has run out they may still renew leases under an older token.
+    """
+
+    number: int
+    leader: str
+    members: dict[str, str]
+    lingering: dict[str, str] = {}
+
+
+class State(Enum):
+    APPLYING = auto()
+    STANDING = auto()
+    SERVING = auto()
+    LEADING = auto()
+
+
+def owner_of(host: str, members: dict[str, str]) -> str:
+    """The member with the highest hash for this machine: when members change, few machines move."""
+    return max(members, key=lambda member: hashlib.blake2b(f"{member} {host}".encode(), digest_size=8).digest())
+
+
+class Membership:
+    """Keeps our grant and member key, runs for leader, and as leader writes the views.
+
+    A view is changed only by a transaction that is conditional on the leader key's stamp and on the
+    view's own stamp: a leader whose grant ran out, or a late copy of its request, changes nothing.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        mirror: Mirror,
+        member: str,
+        incarnation: str,
+        nodes: int,
+        changed: Callable[[], None],
+    ) -> None:
+        self._store = store
+        self._mirror = mirror
+        self._context = store.context
+        self.member = member
+        self.incarnation = incarnation
+        self._nodes = nodes
+        self._changed = changed
+        self.state = State.APPLYING
+        self.view: View | None = None
+        self.view_stamp = 0
+        self._grant: int | None = None
+        self._touched = timedelta(0)
+        self._members: dict[str, str] = {}
+        self._leader: dict[str, str] | None = None
+        self._busy = False
+        self._gather_from: timedelta | None = None
+
+    @property
+    def serving(self) -> bool:
+        return self.state in (State.SERVING, State.LEADING)
+
+    @property
+    def leading(self) -> bool:
+        return self.state is State.LEADING
+
+    def start(self) -> None:
+        self._tick()
+
+    # What the mirror tells.
+
+    def on_change(self, path: str, value: Any, stamp: int) -> None:
+        if path == VIEW:
+            self._take_view(value, stamp)
+        elif path == LEADER:
+            self._leader = value if isinstance(value, dict) else None
+            self._judge()
+        elif path.startswith(MEMBER):
+            name = path[len(MEMBER) :]
+            if isinstance(value, dict):
+                self._members[name] = str(value.get("inc"))
+            else:
+                self._members.pop(name, None)
+
+    def _take_view(self, value: Any, stamp: int) -> None:
+        try:
+            self.view = msgspec.convert(value, View)
+        except msgspec.ValidationError as error:
+            log.error("broken view: %s", error)
+            return
+        self.view_stamp = stamp
+        log.info("view %d: leader %s, members %s", self.view.number, self.view.leader, ", ".join(self.view.members))
+        self._judge()
+        self._changed()
+
+    def _judge(self) -> None:
+        """Our state follows from the grant, the view and the leader key."""
+        mine = self.view is not None and self.view.members.get(self.member) == self.incarnation
+        if self._grant is None:
+            wanted = State.APPLYING
+        elif not mine:
+            wanted = State.STANDING
+        elif self.view is not None and self.view.leader == self.member and self._holds_leader():
+            wanted = State.LEADING
+        else:
+            wanted = State.SERVING
+        if wanted is not self.state:
+            self._become(wanted)
+
+    def _become(self, state: State) -> None:
+        log.info("membership: %s -> %s", self.state.name.lower(), state.name.lower())
+        self.state = state
+
+    def _holds_leader(self) -> bool:
+        return self._leader is not None and self._leader.get("inc") == self.incarnation
+
+    # What we do about it.
+
+    def _tick(self) -> None:
+        self._context.after(STEP, self._tick)
+        if self._mirror.proof is None:
+            return
+        if self._grant is None:
+            self._apply()
+        elif self._context.now - self._touched >= TOUCH:
+            self._touch()
+        if self._grant is None or self._busy:
+            return
+        if self._members.get(self.member) != self.incarnation:
+            self._stand()
+        elif self._leader is None or self._leader.get("member") == self.member and not self._holds_leader():
+            # An earlier incarnation of our own member has ended for sure, so its key need not run out.
+            self._run_for_leader()
+        elif self._holds_leader():
+            self._review()
+
+    def _apply(self) -> None:
+        if self._busy:
+            return
+        self._busy = True
+
+        def done(grant: int | None) -> None:
+            self._busy = False
+            self._grant = grant
+            self._touched = self._context.now
+            self._judge()
+
+        self._store.grant(LIFE, done)
+
+    def _touch(self) -> None:
+        self._touched = self._context.now
+        grant = self._grant
+        assert grant is not None
+
+        def done(alive: bool | None) -> None:
+            if alive is False and self._grant == grant:
+                log.info("our grant ran out")
+                self._grant = None
+                self._judge()
+
+        self._store.touch(grant, done)
+
+    def _commit(self, txn: Txn) -> None:
+        self._busy = True
+
+        def done(outcome: Outcome) -> None:
+            self._busy = False
+            if outcome.epoch is not None:
+                self._mirror.applied(outcome.epoch, txn.puts, txn.drops)
+
+        self._store.txn(txn, done)
+
+    def _stand(self) -> None:
+        key = MEMBER + self.member
+        self._commit(
+            Txn(when={key: self._mirror.stamp(key)}, puts=[(key, {"inc": self.incarnation}, self._grant)])
+        )
+
+    def _run_for_leader(self) -> None:
+        value = {"member": self.member, "inc": self.incarnation}
+        self._commit(Txn(when={LEADER: self._mirror.stamp(LEADER)}, puts=[(LEADER, value, self._grant)]))
+
+    def _review(self) -> None:
+        """The leader writes a new view when members came, went or started anew."""
+        view = self.view
+        if view is not None and view.leader == self.member and view.members == self._members:
+            self._gather_from = None
+            return
+        if self.member not in self._members:
+            return
+        known = view.members if view is not None else {}
+        if len(self._members) < self._nodes and not set(known) & set(self._members):
+            # A start of the whole service: a moment's patience spares a view for each member.
+            self._gather_from = self._gather_from or self._context.now
+            if self._context.now - self._gather_from < GATHER:
+                return
+        lingering = dict(view.lingering) | known if view is not None else {}
+        # A member that stands with a new incarnation has proven the end of its old one.
+        lingering = {name: inc for name, inc in lingering.items() if name not in self._members}
+        number = view.number + 1 if view is not None else 1
+        new = View(number, self.member, dict(self._members), lingering)
+        txn = Txn(
+            when={LEADER: self._mirror.stamp(LEADER), VIEW: self.view_stamp},
+            puts=[(VIEW, msgspec.to_builtins(new), None)],
+        )
+        self._commit(txn)
--- /dev/null
+++ b/src/ramptide/mirror.py
@@ -0,0 +1,128 @@
+"""A copy of the live keys of the state service, kept current by one watch, with the moment it was last proven."""
+
+import logging
+from collections.abc import Callable
+from datetime import timedelta
+from enum import Enum, auto
+from typing import Any
+
+from ramptide import wire
+from ramptide.store import Store
+
+log = logging.getLogger(__name__)
+
+BLOCK = timedelta(milliseconds=700)
+PAUSE = timedelta(milliseconds=80)
+RETRY = timedelta(milliseconds=300)
+
+Changed = Callable[[str, Any, int], None]
+
+
+class State(Enum):
+    LOADING = auto()
+    CURRENT = auto()
+    LACKING = auto()
+
+
+class Mirror:
+    """Reports each change once, in order of revision for a key: `changed(path, value, stamp)`, value None for a drop.
+
+    `proof` is the moment a request was sent whose answer showed all changes up to then: the copy
+    is at least as new as that moment.
+    """
+
+    def __init__(self, store: Store, prefix: str, changed: Changed, loaded: Callable[[], None]) -> None:
+        self._store = store
+        self._prefix = prefix
+        self._changed = changed
+        self._loaded = loaded
+        self._stamps: dict[str, int] = {}
+        self._dropped: dict[str, int] = {}
+        self._epoch = 0
+        self.state = State.LOADING
+        self.proof: timedelta | None = None
+
+    @property
+    def lacking(self) -> bool:
+        """The state service did not answer the last request."""
+        return self.state is not State.CURRENT
+
+    def start(self) -> None:
+        self._load()
+
+    def stamp(self, path: str) -> int:
+        return self._stamps.get(path, 0)
+
+    def applied(self, epoch: int, puts: list[tuple[str, Any, int | None]], drops: list[str]) -> None:
+        """Takes over a transaction of our own that went through, ahead of the watch."""
+        for path, value, _grant in puts:
+            self._take(path, value, epoch)
+        for path in drops:
+            self._take(path, None, epoch)
+
+    def _take(self, path: str, value: Any, stamp: int) -> None:
+        if not path.startswith(self._prefix):
+            return
+        if stamp <= self._stamps.get(path, 0) or stamp <= self._dropped.get(path, 0):
+            return
+        if value is None:
+            self._dropped[path] = stamp
+            if self._stamps.pop(path, None) is None:
+                return
+        else:
+            self._stamps[path] = stamp
+        self._changed(path, value, stamp)
+
+    def _become_current(self, sent: timedelta) -> None:
+        if self.state is not State.CURRENT:
+            log.info("the state service answers")
+        self.state = State.CURRENT
+        self.proof = sent
+
+    def _become_lacking(self) -> None:
+        if self.state is State.CURRENT:
+            log.info("the state service does not answer")
+            self.state = State.LACKING
+
+    def _load(self) -> None:
+        sent = self._store.context.now
+
+        def done(rows: list[wire.Row] | None, epoch: int) -> None:
+            if rows is None:
+                self._become_lacking()
+                self._store.context.after(RETRY, self._load)
+                return
+            listed = {row.path for row in rows}
+            self._epoch = epoch
+            for path in [path for path in self._stamps if path not in listed]:
+                self._take(path, None, epoch)
+            for row in sorted(rows, key=lambda row: row.stamp):
+                self._take(row.path, row.v, row.stamp)
+            self._become_current(sent)
+            self._loaded()
+            self._watch()
+
+        self._store.list(self._prefix, done)
+
+    def _watch(self) -> None:
+        context = self._store.context
+        sent = context.now
+
+        def done(changes: wire.Changes | None, gone: bool) -> None:
+            if changes is None:
+                self._become_lacking()
+                context.after(RETRY, self._load if gone else self._watch)
+                return
+            for change in changes.news:
+                if change.put is not None:
+                    self._take(change.put, change.v, change.stamp)
+                elif change.drop is not None:
+                    self._take(change.drop, None, change.stamp)
+            self._epoch = max(self._epoch, changes.epoch)
+            self._dropped = {path: stamp for path, stamp in self._dropped.items() if stamp > self._epoch}
+            self._become_current(sent)
+            # A pause gathers what changes meanwhile: each opened watch counts against the request limit.
+            spent = context.now - sent
+            context.after(max(PAUSE - spent, timedelta(milliseconds=5)), self._watch)
+
+        self._store.changes(self._prefix, self._epoch, BLOCK, done)
--- /dev/null
+++ b/src/ramptide/placement.py
@@ -0,0 +1,130 @@
+"""What may run where, and which machine a task takes. Pure: rooms and jobs in, a choice out."""
+
+from collections import Counter
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from ramptide import wire
+
+EPSILON = 1e-6
+
+
+@dataclass(slots=True)
+class Room:
+    """What is free on a machine, and what matters for choosing it."""
+
+    host: str
+    flavor: str
+    yard: str
+    spot: bool
+    cores: float
+    cards: float
+    ram_gb: float
+    images: frozenset[str] = frozenset()
+    idle: bool = False
+    shunned: frozenset[str] = field(default_factory=frozenset)
+
+    def fits(self, run: wire.Run) -> int:
+        """How many tasks of the job this room takes."""
+        counts = [
+            int((free + EPSILON) / each)
+            for free, each in ((self.cores, run.cores), (self.cards, run.cards), (self.ram_gb, run.ram_gb))
+            if each > 0
+        ]
+        return max(0, min(counts)) if counts else run.pieces
+
+    def take(self, run: wire.Run, tasks: int = 1) -> None:
+        self.cores -= run.cores * tasks
+        self.cards -= run.cards * tasks
+        self.ram_gb -= run.ram_gb * tasks
+
+
+def may_use(run: wire.Run, flavor: str, yard: str, spot: bool) -> bool:
+    """The job allows this type, zone and kind of machine."""
+    return (
+        (run.rigs is None or flavor in run.rigs)
+        and (run.yard is None or run.yard == yard)
+        and (run.spot or not spot)
+    )
+
+
+def holds(run: wire.Run, flavor: wire.Flavor) -> bool:
+    """An empty machine of the type takes a task of the job."""
+    return (
+        run.cores <= flavor.cores + EPSILON
+        and run.cards <= flavor.cards + EPSILON
+        and run.ram_gb <= flavor.ram_gb + EPSILON
+    )
+
+
+def can_ever_run(run: wire.Run, flavors: Iterable[wire.Flavor]) -> bool:
+    """Some allowed type and zone takes a task, and the zone rules can be met."""
+    yards: set[str] = set()
+    for flavor in flavors:
+        if holds(run, flavor):
+            yards.update(yard for yard in flavor.yards if may_use(run, flavor.name, yard, False))
+    if run.spread and run.pieces > 1:
+        return len(yards) > 1 and not run.one_zone
+    return bool(yards)
+
+
+def zone_room(run: wire.Run, yard: str, placed: Mapping[str, int]) -> int:
+    """How many more tasks the zone rules allow in a zone, given where the job's tasks are now."""
+    if run.one_zone and any(count for other, count in placed.items() if other != yard):
+        return 0
+    if run.spread:
+        return max(0, (run.pieces + 1) // 2 - placed.get(yard, 0))
+    return run.pieces
+
+
+def choose(run: wire.Run, rooms: Iterable[Room], placed: Mapping[str, int]) -> Room | None:
+    """The machine for the next task of a job, or None when none has room.
+
+    Cached images first, since a fetch is what people wait for; then spot for what may use it; a busy
+    machine before an idle one, so that machines empty; then the tightest fit.
+    """
+    usable = [
+        room
+        for room in rooms
+        if may_use(run, room.flavor, room.yard, room.spot)
+        and run.ref not in room.shunned
+        and room.fits(run)
+        and zone_room(run, room.yard, placed)
+    ]
+    if run.one_zone and not any(placed.values()):
+        # The first task decides the zone of all: it goes where most of them fit.
+        capacity: Counter[str] = Counter()
+        for room in usable:
+            capacity[room.yard] += room.fits(run)
+        if capacity:
+            yard = max(sorted(capacity), key=lambda name: capacity[name])
+            usable = [room for room in usable if room.yard == yard]
+    if not usable:
+        return None
+    return min(
+        usable,
+        key=lambda room: (
+            run.image not in room.images,
+            run.spot and not room.spot,
+            room.idle,
+            room.cores - run.cores,
+            room.host,
+        ),
+    )
+
+
+def fill(run: wire.Run, tasks: int, rooms: Iterable[Room], placed: Mapping[str, int]) -> int:
+    """How many of `tasks` find room; the rooms are taken from. For counting, not for starting."""
+    found = 0
+    here = Counter(placed)
+    for room in rooms:
+        if found >= tasks:
+            break
+        if not may_use(run, room.flavor, room.yard, room.spot) or run.ref in room.shunned:
+            continue
+        count = min(room.fits(run), tasks - found, zone_room(run, room.yard, here))
+        if count:
+            room.take(run, count)
+            here[room.yard] += count
+            found += count
+    return found
--- /dev/null
+++ b/src/ramptide/records.py
@@ -0,0 +1,112 @@
+"""The durable records: jobs, machines and rentals, and how they are written in the state service."""
+
+import base64
+from datetime import UTC, datetime
+from typing import Any
+
+import msgspec
+
+from ramptide import wire
+
+JOB = "live/job/"
+ENDED = "ended/"
+MACHINE = "live/machine/"
+HIRE = "live/hire/"
+FLAVORS = "live/flavors"
+SETTINGS = "live/settings"
+
+WINDOW = 8192
+
+TaskId = tuple[str, int]
+
+
+class Progress:
+    """The set of done tasks, compact: all below `low`, and a bitmap of what is done above it.
+
+    No task at or past `low + WINDOW` may start, so the record keeps within the size of a value
+    however many tasks the job has.
+    """
+
+    __slots__ = ("low", "bits", "count")
+
+    def __init__(self, low: int = 0, bits: int = 0) -> None:
+        self.low = low
+        self.bits = bits
+        self.count = low + bits.bit_count()
+
+    def __contains__(self, task: int) -> bool:
+        return task < self.low or bool(self.bits >> (task - self.low) & 1)
+
+    def add(self, task: int) -> bool:
+        if task in self:
+            return False
+        self.bits |= 1 << (task - self.low)
+        self.count += 1
+        ones = (~self.bits & (self.bits + 1)).bit_length() - 1
+        self.bits >>= ones
+        self.low += ones
+        return True
+
+    def encode(self) -> list[Any]:
+        raw = self.bits.to_bytes((self.bits.bit_length() + 7) // 8, "little")
+        return [self.low, base64.b64encode(raw).decode("ascii")]
+
+    @classmethod
+    def decode(cls, value: list[Any]) -> "Progress":
+        return cls(int(value[0]), int.from_bytes(base64.b64decode(value[1]), "little"))
+
+
+class Handover(msgspec.Struct, array_like=True, frozen=True):
+    """A job changed its home inside a view: the new home waits until every owner has processed this message
+    of the old one, and so shows all that the old home had asked for."""
+
+    view: int
+    member: str
+    seq: int
+
+
+class JobRecord(msgspec.Struct):
+    """The one record of a job that is not over."""
+
+    run: wire.Run
+    home: str
+    born: int
+    at: float
+    done: list[Any]
+    hand: Handover | None = None
+
+    @property
+    def submitted(self) -> datetime:
+        return datetime.fromtimestamp(self.at, UTC)
+
+
+class EndRecord(msgspec.Struct):
+    """What is kept of a job for good."""
+
+    status: str
+    pieces: int
+    done: int
+
+
+class MachineRecord(msgspec.Struct):
+    """A rented machine. `born` is the view that recorded it: none older can have started anything on it."""
+
+    flavor: str
+    yard: str
+    spot: bool
+    born: int
+    at: float
+    leaving: str | None = None
+
+
+class HireRecord(msgspec.Struct):
+    """A rental that is asked for under this unique name, written before the cloud is asked."""
+
+    flavor: str
+    yard: str
+    spot: bool
+    at: float
+
+
+def to_value(record: msgspec.Struct) -> Any:
+    return msgspec.to_builtins(record)
--- /dev/null
+++ b/src/ramptide/service.py
@@ -0,0 +1,133 @@
+"""The shell around a controller: listeners, routes and the real context."""
+
+import logging
+import random
+import resource
+import secrets
+from collections.abc import Callable
+from datetime import datetime, timedelta
+
+from ramptide import peers, wire
+from ramptide.admin import Admin
+from ramptide.app import Controller
+from ramptide.context import CBOR, JSON, Done
+from ramptide.desk import error
+from ramptide.http import Client, Exchange, Server
+from ramptide.loop import Loop, Timer
+
+log = logging.getLogger(__name__)
+
+IDLE_USERS = timedelta(seconds=60)
+IDLE_PEERS = timedelta(seconds=60)
+OWN_FILES = 24
+
+
+class LoopContext:
+    """The real world: time from the loop, calls through the client."""
+
+    def __init__(self, loop: Loop, client: Client) -> None:
+        self._loop = loop
+        self._client = client
+        self.rng = random.Random(secrets.randbits(64))
+
+    @property
+    def now(self) -> timedelta:
+        return self._loop.now
+
+    def wall(self) -> datetime:
+        return self._loop.wall()
+
+    def after(self, delay: timedelta, action: Callable[[], None]) -> Timer:
+        return self._loop.after(delay, action)
+
+    def call(
+        self, address: str, method: str, target: str, body: bytes, kind: str, timeout: timedelta, done: Done
+    ) -> None:
+        self._client.call(address, method, target, body, kind, timeout, done)
+
+
+class Service:
+    def __init__(self, settings: wire.Settings) -> None:
+        self.loop = Loop()
+        # Sockets are shared out so that neither users nor peers can use up what the others need.
+        limit = settings.cluster.quota.fd_limit
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if hard != resource.RLIM_INFINITY:
+            limit = min(limit, hard)
+        room = max(limit - OWN_FILES, 8)
+        client = Client(self.loop, room // 5)
+        context = LoopContext(self.loop, client)
+        self.controller = Controller(context, settings, secrets.token_hex(6))
+        self.admin = Admin(self.controller)
+        self.users = Server(self.loop, settings.listen, self._users, room * 3 // 5, IDLE_USERS)
+        self.peers = Server(self.loop, settings.peer_listen, self._peers, room // 5, IDLE_PEERS)
+
+    def run(self) -> None:
+        self.controller.start()
+        self.loop.run()
+
+    def _users(self, exchange: Exchange) -> None:
+        request = exchange.request
+        path = request.target.partition("?")[0]
+        c = self.controller
+
+        def answer(status: int, body: bytes, headers: dict[str, str] | None = None) -> None:
+            exchange.respond(status, body, JSON, headers or {})
+
+        if path == wire.BEAT:
+            if request.method != "POST":
+                self._not_allowed(exchange, "POST")
+                return
+            c.counters["reports"] += 1
+            c.beat(request.body, answer)
+        elif path == wire.HEALTH:
+            if request.method not in ("GET", "HEAD"):
+                self._not_allowed(exchange, "GET, HEAD")
+                return
+            healthy = c.healthy()
+            answer(200 if healthy else 503, wire.encode({"healthy": healthy}))
+        elif path == wire.RUNS or path.startswith(wire.RUNS + "/"):
+            c.counters["requests"] += 1
+            self._runs(exchange, path[len(wire.RUNS) + 1 :], answer)
+        else:
+            answer(404, error("no such path"))
+
+    def _runs(self, exchange: Exchange, rest: str, answer: Callable[..., None]) -> None:
+        request, desk = exchange.request, self.controller.desk
+        parts = rest.split("/") if rest else []
+        if not parts:
+            if request.method != "POST":
+                self._not_allowed(exchange, "POST")
+            else:
+                desk.submit(request.body, answer)
+        elif len(parts) == 1:
+            if request.method != "GET":
+                self._not_allowed(exchange, "GET")
+            else:
+                desk.poll(parts[0], answer)
+        elif len(parts) == 2 and parts[1] == "cancel":
+            if request.method != "POST":
+                self._not_allowed(exchange, "POST")
+            else:
+                desk.cancel(parts[0], answer)
+        else:
+            answer(404, error("no such path"))
+
+    @staticmethod
+    def _not_allowed(exchange: Exchange, allowed: str) -> None:
+        exchange.respond(405, error("method not allowed"), JSON, {"Allow": allowed})
+
+    def _peers(self, exchange: Exchange) -> None:
+        request = exchange.request
+        path = request.target.partition("?")[0]
+        if path == peers.PATH:
+            if request.method != "POST":
+                self._not_allowed(exchange, "POST")
+                return
+            body = self.controller.sync(request.body)
+            if body is None:
+                exchange.respond(400, error("not a message of a controller"))
+            else:
+                exchange.respond(200, body, CBOR)
+        elif not self.admin.handle(request.method, path, request.body, exchange.respond):
+            exchange.respond(404, error("no such path"))
--- /dev/null
+++ b/src/ramptide/settings.py
@@ -0,0 +1,130 @@
+"""The settings file of the platform, and the operators' own settings with their bounds."""
+
+import math
+from dataclasses import dataclass, fields
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+
+from ramptide import wire
+from ramptide.http import parse_address
+
+
+class BadSettings(ValueError):
+    """One line for the operator, naming the field."""
+
+
+def load(path: Path) -> wire.Settings:
+    """The checked settings file."""
+    try:
+        body = path.read_bytes()
+    except OSError as error:
+        raise BadSettings(f"{path}: {error.strerror}") from error
+    try:
+        settings = wire.decode_settings(body)
+    except wire.BadMessage as error:
+        raise BadSettings(f"{path}: {error}") from error
+    addresses = {
+        "client_listen": settings.listen,
+        "peer_bind": settings.peer_listen,
+        "outside.cloud": settings.outside.cloud,
+        "outside.state": settings.outside.state,
+    } | {f"siblings[{n}].addr": sibling.addr for n, sibling in enumerate(settings.siblings)}
+    for field_name, address in addresses.items():
+        try:
+            parse_address(address)
+        except ValueError as error:
+            raise BadSettings(f"{path}: {error} - at `$.{field_name}`") from error
+    names = [settings.member, *(sibling.member for sibling in settings.siblings)]
+    if len(set(names)) != len(names):
+        raise BadSettings(f"{path}: two controllers have the same name - at `$.siblings`")
+    workers = settings.cluster.workers
+    if workers.cancel_s <= workers.lease_s:
+        raise BadSettings(f"{path}: must be longer than lease_s - at `$.cluster.workers.cancel_s`")
+    return settings
+
+
+@dataclass(frozen=True, slots=True)
+class Bound:
+    """What a setting may be, and what it does."""
+
+    low: float
+    high: float
+    text: str
+
+
+BOUNDS: dict[str, Bound] = {
+    "step": Bound(0.2, 600, "seconds between two steps of the leader; a step rents at most one machine"),
+    "window": Bound(0, 3600, "seconds that a count must stay high before machines are rented"),
+    "waiting_high": Bound(1, 1e6, "waiting tasks without room that count as high"),
+    "long_wait": Bound(0, 3600, "seconds after which a waiting task is long-waiting"),
+    "long_waiting_high": Bound(1, 1e6, "long-waiting tasks that count as high"),
+    "cooldown": Bound(0, 3600, "quiet seconds after which an idle machine is returned"),
+    "pool_size": Bound(0, 1000, "idle machines kept ready"),
+    "horizon": Bound(1, 86400, "seconds of work over which a machine's boot is paid off"),
+    "boot_factor": Bound(1, 100, "times the usual boot time after which a machine that is not up is returned"),
+    "silent_leases": Bound(1.1, 100, "leases of silence after which a machine is returned"),
+    "sick_jobs": Bound(1, 100, "different jobs failing in a row that make a machine sick"),
+    "hand_over": Bound(0, 600, "seconds that a task waits in a part before its job goes to the leader"),
+    "list_every": Bound(1, 600, "seconds between two readings of the cloud's list"),
+    "hold": Bound(0, 3, "seconds that a report may wait for a launch before it is answered"),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Tuning:
+    """The operators' own settings, kept in the state service and changed through the administration API."""
+
+    step: timedelta = timedelta(seconds=1)
+    window: timedelta = timedelta(seconds=1)
+    waiting_high: int = 1
+    long_wait: timedelta = timedelta(seconds=10)
+    long_waiting_high: int = 1
+    cooldown: timedelta = timedelta(seconds=20)
+    pool_size: int = 2
+    horizon: timedelta = timedelta(seconds=90)
+    boot_factor: float = 3.0
+    silent_leases: float = 1.3
+    sick_jobs: int = 2
+    hand_over: timedelta = timedelta(seconds=1)
+    list_every: timedelta = timedelta(seconds=4)
+    hold: timedelta = timedelta(seconds=1)
+
+    def to_value(self) -> dict[str, float | int]:
+        """Numbers only; times in seconds."""
+        return {
+            f.name: value.total_seconds() if isinstance(value := getattr(self, f.name), timedelta) else value
+            for f in fields(self)
+        }
+
+    def changed(self, changes: Any) -> "Tuning":
+        """A copy with some settings replaced; BadSettings names the one that is wrong."""
+        if not isinstance(changes, dict):
+            raise BadSettings("settings: not an object")
+        values: dict[str, Any] = {f.name: getattr(self, f.name) for f in fields(self)}
+        for name, value in changes.items():
+            if name not in values:
+                raise BadSettings(f"{name}: no such setting")
+            if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+                raise BadSettings(f"{name}: not a number")
+            bound = BOUNDS[name]
+            if not bound.low <= value <= bound.high:
+                raise BadSettings(f"{name}: not between {bound.low:g} and {bound.high:g}")
+            if isinstance(values[name], int):
+                if value != int(value):
+                    raise BadSettings(f"{name}: not a whole number")
+                values[name] = int(value)
+            else:
+                values[name] = timedelta(seconds=value) if isinstance(values[name], timedelta) else float(value)
+        return Tuning(**values)
+
+    @classmethod
+    def from_value(cls, value: Any) -> "Tuning":
+        """What is stored; what this version doesn't know or take keeps its default."""
+        tuning = cls()
+        for name, one in (value if isinstance(value, dict) else {}).items():
+            try:
+                tuning = tuning.changed({name: one})
+            except BadSettings:
+                continue
+        return tuning
--- /dev/null
+++ b/src/ramptide/store.py
@@ -0,0 +1,182 @@
+"""The client of the state service: reads, transactions, grants, and a watch that keeps a copy current."""
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import Any
+from urllib.parse import quote, urlencode
+
+from ramptide import wire
+from ramptide.context import JSON, Context, Reply
+from ramptide.limits import Bucket, Gate, Rank
+
+log = logging.getLogger(__name__)
+
+PATIENCE = {
+    Rank.COMMIT: timedelta(seconds=4),
+    Rank.READ: timedelta(seconds=1.2),
+    Rank.HOUSEKEEPING: timedelta(seconds=5),
+}
+TIMEOUT = timedelta(seconds=2)
+
+
+@dataclass(slots=True)
+class Txn:
+    """Conditions (key and the stamp it must have) and changes that go through together."""
+
+    when: dict[str, int] = field(default_factory=dict)
+    puts: list[tuple[str, Any, int | None]] = field(default_factory=list)
+    drops: list[str] = field(default_factory=list)
+
+    @property
+    def size(self) -> int:
+        return len(self.puts) + len(self.drops)
+
+
+@dataclass(slots=True)
+class Outcome:
+    """What became of a transaction: `epoch` when it went through, `failed` when a condition did not hold;
+    neither when nobody knows (`sent`) or it was not carried out (not `sent`)."""
+
+    epoch: int | None = None
+    failed: list[str] | None = None
+    sent: bool = True
+
+
+class Store:
+    def __init__(self, context: Context, address: str, limits: wire.StateLimits, nodes: int) -> None:
+        self.context = context
+        self.address = address
+        self.limits = limits
+        calls = limits.rps * 0.95 / nodes
+        writes = limits.write_rps * 0.95 / nodes
+        self.gate = Gate(context, Bucket(calls, calls), Bucket(writes, writes))
+
+    def _call(
+        self,
+        rank: Rank,
+        method: str,
+        target: str,
+        body: bytes,
+        done: Callable[[Reply | None], None],
+        writes: int = 0,
+        timeout: timedelta = TIMEOUT,
+        refuse: Callable[[], None] | None = None,
+        sending: Callable[[], None] | None = None,
+    ) -> None:
+        def answered(reply: Reply | None) -> None:
+            if reply is not None and reply.status == 429:
+                self.gate.overloaded()
+            done(reply)
+
+        def go() -> None:
+            if sending is not None:
+                sending()
+            self.context.call(self.address, method, target, body, JSON, timeout, answered)
+
+        self.gate.ask(rank, writes, PATIENCE[rank], go, refuse or (lambda: done(None)))
+
+    def get(
+        self, key: str, done: Callable[[wire.Row | None, bool], None], sending: Callable[[], None] | None = None
+    ) -> None:
+        """`done(row, known)`: the row, or None; known is False when it could not be read.
+
+        `sending` is called when the request leaves: whoever asks after that needs another read.
+        """
+
+        def answered(reply: Reply | None) -> None:
+            if reply is not None and reply.status == 404:
+                done(None, True)
+            elif reply is not None and reply.status == 200:
+                row = _read(wire.decode_row, reply.body)
+                done(row, row is not None)
+            else:
+                done(None, False)
+
+        self._call(Rank.READ, "GET", f"{wire.KV}/{quote(key, safe='/')}", b"", answered, sending=sending)
+
+    def list(self, prefix: str, done: Callable[[list[wire.Row] | None, int], None]) -> None:
+        """All rows with a prefix, and the epoch of the first page (a watch from there misses nothing)."""
+        rows: list[wire.Row] = []
+        first: list[int] = []
+
+        def page(since: str | None) -> None:
+            query = {"prefix": prefix, "limit": "500"} | ({"since": since} if since else {})
+
+            def answered(reply: Reply | None) -> None:
+                found = _read(wire.decode_rows, reply.body) if reply is not None and reply.status == 200 else None
+                if found is None:
+                    done(None, 0)
+                    return
+                first.append(found.epoch)
+                rows.extend(found.rows)
+                if found.more and found.rows:
+                    page(found.rows[-1].path)
+                else:
+                    done(rows, first[0])
+
+            self._call(Rank.COMMIT, "GET", f"{wire.KV}?{urlencode(query)}", b"", answered)
+
+        page(None)
+
+    def txn(self, txn: Txn, done: Callable[[Outcome], None], rank: Rank = Rank.COMMIT) -> None:
+        def answered(reply: Reply | None) -> None:
+            if reply is None:
+                done(Outcome())
+            elif reply.status in (200, 409):
+                answer = _read(wire.decode_epoch, reply.body)
+                if answer is None:
+                    done(Outcome())
+                elif reply.status == 200:
+                    done(Outcome(epoch=answer.epoch))
+                else:
+                    done(Outcome(failed=answer.failed))
+            else:
+                if reply.status not in (429, 503):
+                    log.error("transaction refused with %d: %r", reply.status, reply.body[:200])
+                done(Outcome(sent=False))
+
+        body = wire.encode_txn(txn.when, txn.puts, txn.drops)
+        self._call(
+            rank, "POST", wire.TXN, body, answered, writes=txn.size, refuse=lambda: done(Outcome(sent=False))
+        )
+
+    def grant(self, life: timedelta, done: Callable[[int | None], None]) -> None:
+        def answered(reply: Reply | None) -> None:
+            done(_read(wire.decode_grant, reply.body) if reply is not None and reply.status == 200 else None)
+
+        self._call(Rank.COMMIT, "POST", wire.GRANTS, wire.encode_grant(life), answered)
+
+    def touch(self, grant: int, done: Callable[[bool | None], None]) -> None:
+        """`done(alive)`: None when it is not known."""
+
+        def answered(reply: Reply | None) -> None:
+            status = reply.status if reply is not None else 0
+            done(True if status == 200 else False if status == 404 else None)
+
+        self._call(Rank.COMMIT, "POST", f"{wire.GRANTS}/{grant}/touch", b"", answered, timeout=timedelta(seconds=1))
+
+    def changes(
+        self, prefix: str, since: int, block: timedelta, done: Callable[[wire.Changes | None, bool], None]
+    ) -> None:
+        """`done(changes, gone)`: gone when `since` is too old and the keys must be read again."""
+        query = urlencode({"prefix": prefix, "since": since, "blockMs": int(block / timedelta(milliseconds=1))})
+
+        def answered(reply: Reply | None) -> None:
+            if reply is not None and reply.status == 200:
+                done(_read(wire.decode_changes, reply.body), False)
+            else:
+                done(None, reply is not None and reply.status == 410)
+
+        self._call(
+            Rank.COMMIT, "GET", f"{wire.CHANGES}?{query}", b"", answered, timeout=block + timedelta(seconds=1)
+        )
+
+
+def _read(decode: Callable[[bytes], Any], body: bytes) -> Any:
+    try:
+        return decode(body)
+    except wire.BadMessage as error:
+        log.error("broken answer of the state service: %s", error)
+        return None
--- /dev/null
+++ b/src/ramptide/wire.py
@@ -0,0 +1,374 @@
+"""Every name that the outside world uses, and the turning of its messages into checked values."""
+
+import re
+from datetime import timedelta
+from typing import Annotated, Any, TypeVar
+
+import msgspec
+from msgspec import Meta, Struct, field
+
+Amount = Annotated[float, Meta(ge=0, le=1e9)]
+Positive = Annotated[float, Meta(gt=0, le=1e9)]
+Count = Annotated[int, Meta(ge=0)]
+Name = Annotated[str, Meta(min_length=1, max_length=200)]
+
+MAX_PIECES = 100_000
+RANKS = ("low", "normal", "high", "production")
+BATCH, SERVICE = "batch", "service"
+
+# Paths of the users', workers', cloud's and state service's interfaces.
+RUNS, HEALTH, BEAT = "/v2/runs", "/healthz", "/agent/beat"
+FLAVORS, RENTALS, RETURN = "/flavors", "/rentals", "/rentals/return"
+KV, TXN, GRANTS, CHANGES = "/kv", "/txn", "/grants", "/changes"
+
+# States of a task as workers report them, and causes of an end.
+FETCHING, RUNNING, FLUSHING, ENDED = "fetching", "running", "flushing", "ended"
+DONE, HALTED, ERROR = "done", "halted", "error"
+REFUSED = ("no_room", "busy", "unknown")
+
+# States of a job as users see them.
+PENDING, WITHDRAWN = "pending", "withdrawn"
+
+_REF = re.compile(r"j-[0-9]{1,30}\Z")
+
+
+T = TypeVar("T")
+
+
+class BadMessage(ValueError):
+    """A message that cannot be what its sender should have sent."""
+
+
+class Run(Struct, rename={"job_class": "jobclass", "team": "owner", "ram_gb": "ramGb", "image": "bundle",
+                          "image_gb": "imageGb", "one_zone": "oneZone", "spot": "loaners", "guess_s": "guessS",
+                          "mark_every_s": "markEveryS", "mark_cost_s": "markCostS", "due_s": "dueS"}):
+    """A submission."""
+
+    ref: Name
+    job_class: Name
+    team: Name
+    shape: str
+    rank: str
+    pieces: Annotated[int, Meta(ge=1, le=MAX_PIECES)]
+    cores: Amount
+    cards: Amount
+    ram_gb: Amount
+    image: Name
+    image_gb: Amount
+    one_zone: bool
+    spread: bool
+    spot: bool
+    guess_s: Amount
+    mark_every_s: Amount
+    mark_cost_s: Amount
+    rigs: list[Name] | None = None
+    yard: Name | None = None
+    due_s: Amount | None = None
+
+
+def decode_run(body: bytes) -> Run:
+    """A submission, or BadMessage saying what is wrong."""
+    run = _decode(body, Run)
+    if not _REF.match(run.ref):
+        raise BadMessage("ref: not a job id")
+    if run.shape not in (BATCH, SERVICE):
+        raise BadMessage("shape: neither batch nor service")
+    if run.rank not in RANKS:
+        raise BadMessage("rank: unknown")
+    return run
+
+
+def is_ref(text: str) -> bool:
+    return bool(_REF.match(text))
+
+
+class Piece(Struct):
+    """A task in a worker's report."""
+
+    piece: Name
+    attempt: Count = field(name="try")
+    status: str
+    cause: str | None = None
+    kept: bool | None = None
+
+
+class Beat(Struct, rename={"spot": "loaners", "notice_s": "warningS"}):
+    """A worker's report."""
+
+    host: Name
+    rig: Name
+    yard: Name
+    tenure: Count
+    tally: Count
+    baton: Count
+    pieces: list[Piece]
+    spot: bool = False
+    addr: str | None = None
+    notice_s: float | None = None
+
+
+def decode_beat(body: bytes) -> Beat:
+    return _decode(body, Beat)
+
+
+def split_piece(piece: str) -> tuple[str, int]:
+    """'j-000412/3' as job and task number."""
+    ref, slash, number = piece.rpartition("/")
+    if not slash or not number.isdigit() or not number.isascii() or not is_ref(ref):
+        raise BadMessage(f"piece: {piece!r}")
+    return ref, int(number)
+
+
+def launch(ref: str, task: int, attempt: int) -> dict[str, Any]:
+    return {"verb": "launch", "piece": f"{ref}/{task}", "try": attempt}
+
+
+def kill(ref: str, task: int, attempt: int, grace: timedelta) -> dict[str, Any]:
+    return {"verb": "kill", "piece": f"{ref}/{task}", "try": attempt, "windDownS": grace.total_seconds()}
+
+
+def reap(ref: str, task: int, attempt: int) -> dict[str, Any]:
+    return {"verb": "reap", "piece": f"{ref}/{task}", "try": attempt}
+
+
+def encode_beat_answer(token: int, orders: list[dict[str, Any]]) -> bytes:
+    return encode({"baton": token, "orders": orders})
+
+
+def encode_foreman(member: str | None) -> bytes:
+    return encode({"foreman": member})
+
+
+def encode_job(ref: str, status: str, done: int | None = None, running: int | None = None) -> bytes:
+    answer: dict[str, Any] = {"ref": ref, "status": status}
+    if done is not None:
+        answer |= {"done": done, "running": running}
+    return encode(answer)
+
+
+class Flavor(Struct, rename={"ram_gb": "ramGb", "cache_gb": "cacheGb", "fetch_gb_per_s": "fetchGbPerS",
+                             "price": "rate", "spot_price": "spotPrice", "boot_s": "bootS"}):
+    """A machine type of the cloud."""
+
+    name: Name
+    cores: Positive
+    ram_gb: Amount
+    yards: list[Name]
+    cards: Amount = 0.0
+    cache_gb: Amount = 0.0
+    fetch_gb_per_s: Amount = 1.0
+    price: Amount = 0.0
+    spot_price: Amount = 0.0
+    boot_s: Amount = 60.0
+
+
+class _Flavors(Struct):
+    rigs: list[Flavor]
+
+
+class Rented(Struct, rename={"spot": "loaners", "age_s": "ageS"}):
+    """A machine in the cloud's list."""
+
+    ref: Name
+    rig: Name
+    yard: Name
+    status: str
+    spot: bool = False
+    addr: str | None = None
+    age_s: float = 0.0
+
+
+class RentedPage(Struct):
+    hosts: list[Rented]
+    more: bool = False
+
+
+class _Hired(Struct):
+    hosts: list[Name]
+
+
+def decode_flavors(body: bytes) -> list[Flavor]:
+    return _decode(body, _Flavors).rigs
+
+
+def decode_rented(body: bytes) -> RentedPage:
+    return _decode(body, RentedPage)
+
+
+def decode_hired(body: bytes) -> list[str]:
+    return list(_decode(body, _Hired).hosts)
+
+
+def encode_hire(name: str, flavor: str, yard: str, spot: bool, count: int) -> bytes:
+    return encode({"hire": name, "rig": flavor, "yard": yard, "loaners": spot, "howMany": count})
+
+
+def encode_return(hosts: list[str]) -> bytes:
+    return encode({"hosts": hosts})
+
+
+class Row(Struct):
+    """A key of the state service: its value and the revision of its last change."""
+
+    path: str
+    v: Any = None
+    stamp: Count = 0
+
+
+class Rows(Struct):
+    rows: list[Row]
+    epoch: Count
+    more: bool = False
+
+
+class Change(Struct):
+    stamp: Count
+    put: str | None = None
+    drop: str | None = None
+    v: Any = None
+
+
+class Changes(Struct):
+    epoch: Count
+    news: list[Change]
+
+
+class Epoch(Struct):
+    epoch: Count = 0
+    failed: list[str] = []
+
+
+class _Grant(Struct):
+    tenancy: Count
+
+
+def decode_row(body: bytes) -> Row:
+    return _decode(body, Row)
+
+
+def decode_rows(body: bytes) -> Rows:
+    return _decode(body, Rows)
+
+
+def decode_changes(body: bytes) -> Changes:
+    return _decode(body, Changes)
+
+
+def decode_epoch(body: bytes) -> Epoch:
+    return _decode(body, Epoch)
+
+
+def decode_grant(body: bytes) -> int:
+    return _decode(body, _Grant).tenancy
+
+
+def encode_grant(life: timedelta) -> bytes:
+    return encode({"lifeMs": int(life / timedelta(milliseconds=1))})
+
+
+def encode_txn(when: dict[str, int], puts: list[tuple[str, Any, int | None]], drops: list[str]) -> bytes:
+    then: list[dict[str, Any]] = []
+    for path, value, grant in puts:
+        change: dict[str, Any] = {"put": path, "v": value}
+        if grant is not None:
+            change["tenancy"] = grant
+        then.append(change)
+    then += [{"drop": path} for path in drops]
+    return encode({"when": [{"path": path, "stamp": stamp} for path, stamp in when.items()], "then": then})
+
+
+class Sibling(Struct):
+    member: Name
+    area: str
+    addr: str
+
+
+class Services(Struct):
+    cloud: str
+    state: str
+
+
+class Team(Struct):
+    """A team's guarantee and limit; 0 means none."""
+
+    name: Name
+    cpus: Amount = 0.0
+    cpus_max: Amount = 0.0
+    gpus: Amount = 0.0
+    gpus_max: Amount = 0.0
+
+
+class Objective(Struct, rename={"job_class": "class"}):
+    kind: str
+    job_class: str | None = None
+    within_s: float | None = None
+    after_s: float | None = None
+    share: float | None = None
+    times: float | None = None
+
+
+class Workers(Struct):
+    report_s: Positive
+    lease_s: Positive
+    cancel_s: Positive
+
+
+class StateLimits(Struct):
+    rps: Positive
+    write_rps: Positive
+    value_kb: Positive
+    txn_ops: Annotated[int, Meta(ge=2)]
+
+
+class CloudLimits(Struct):
+    rps: Positive
+    list_lag_s: Amount
+
+
+class Quota(Struct):
+    ram_mb: Positive
+    fd_limit: Annotated[int, Meta(ge=32)]
+    cpu: Positive = 1.0
+
+
+class Cluster(Struct):
+    nodes: Annotated[int, Meta(ge=1)]
+    zones: list[Name]
+    teams: list[Team]
+    objectives: list[Objective]
+    workers: Workers
+    state: StateLimits
+    cloud: CloudLimits
+    quota: Quota
+    clock_off_ms: Amount = 0.0
+
+
+class Settings(Struct, rename={"listen": "client_listen", "peer_listen": "peer_bind"}):
+    """The settings file that the platform hands over."""
+
+    member: Name
+    area: str
+    listen: str
+    peer_listen: str
+    siblings: list[Sibling]
+    outside: Services
+    cluster: Cluster
+
+
+def decode_settings(body: bytes) -> Settings:
+    return _decode(body, Settings)
+
+
+def encode(value: Any) -> bytes:
+    return msgspec.json.encode(value)
+
+
+def decode(body: bytes) -> Any:
+    return _decode(body, Any)
+
+
+def _decode(body: bytes, kind: type[T]) -> T:
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise BadMessage(str(error)) from error
--- /dev/null
+++ b/tests/test_http.py
@@ -0,0 +1,84 @@
+"""The parser against generated splits of its input."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ramptide.http import HttpError, Message, Parser, encode_request, encode_response
+
+BODIES = st.binary(max_size=300)
+
+
+def chunked(body: bytes, sizes: list[int]) -> bytes:
+    out, rest = b"", body
+    for size in sizes:
+        piece, rest = rest[:size], rest[size:]
+        if piece:
+            out += b"%x;note\r\n%s\r\n" % (len(piece), piece)
+    if rest:
+        out += b"%x\r\n%s\r\n" % (len(rest), rest)
+    return out + b"0\r\nTrailer: x\r\n\r\n"
+
+
+def parse(parser: Parser, data: bytes, cuts: list[int]) -> list[Message]:
+    found = []
+    edges = sorted({0, len(data), *(cut % (len(data) + 1) for cut in cuts)})
+    for start, end in zip(edges, edges[1:], strict=False):
+        parser.feed(data[start:end])
+        while (message := parser.next()) is not None:
+            found.append(message)
+    return found
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(st.lists(BODIES, min_size=1, max_size=3), st.lists(st.integers(1, 50)), st.lists(st.integers(0, 2000)))
+def test_any_split_gives_the_same_messages(bodies: list[bytes], sizes: list[int], cuts: list[int]) -> None:
+    data = b""
+    for number, body in enumerate(bodies):
+        if number % 2:
+            data += b"POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked(body, sizes)
+        else:
+            data += encode_request("POST", "/x", "h", body, "application/json")
+    assert [m.body for m in parse(Parser(), data, cuts)] == bodies
+
+
+@settings(derandomize=True, max_examples=100, deadline=None)
+@given(BODIES, st.lists(st.integers(0, 500)))
+def test_responses_split_anywhere(body: bytes, cuts: list[int]) -> None:
+    data = encode_response(409, body, "application/json", {"Retry-After": "1"}, True)
+    (message,) = parse(Parser(response=True), b"HTTP/1.1 100 Continue\r\n\r\n" + data, cuts)
+    assert (message.status, message.body, message.keep) == (409, body, True)
+    assert message.headers["retry-after"] == "1"
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"GET / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nContent-Length: -3\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nno colon\r\n\r\n", 400),
+        (b"GET /\r\n\r\n", 400),
+        (b"GET / HTTP/3\r\n\r\n", 400),
+        (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400),
+        (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nabcd", 400),
+        (b"POST / HTTP/1.1\r\nContent-Length: 70000\r\n\r\n", 413),
+        (b"GET / HTTP/1.1\r\n" + b"A: b\r\n" * 5000, 431),
+    ],
+)
+def test_broken_requests_are_refused(data: bytes, status: int) -> None:
+    parser = Parser()
+    parser.feed(data)
+    with pytest.raises(HttpError) as caught:
+        parser.next()
+    assert caught.value.status == status
+
+
+def test_a_response_without_length_ends_with_the_connection() -> None:
+    parser = Parser(response=True)
+    parser.feed(b"HTTP/1.1 200 OK\r\n\r\npart")
+    assert parser.next() is None
+    parser.feed(b" and rest")
+    assert parser.next() is None
+    message = parser.closed()
+    assert message is not None and message.body == b"part and rest"
