--- a/src/ramptide/app.py
+++ b/src/ramptide/app.py
@@ -242,10 +242,21 @@
         if self.home is None:
             return
         if self._home_of(job) == self.member:
+            known = job.ref in self.home.works
             self.home.take_job(job, self.context.now)
+            if not known:
+                # The others' lists that we have may be from before we became its home, yet satisfy all that a
+                # handover waits for: what they show of the job is taken over before anything is started.
+                self._read_again()
         else:
             self.home.leave_job(job.ref)
 
+    def _read_again(self) -> None:
+        for member in self.peers.all:
+            said = self.peers.said(member)
+            if said is not None:
+                self._read_floor(member, said.status, said.acks.get(self.member, 0))
+
     def _on_machine(self, host: str, value: Any) -> None:
         record = self._keep(self.machines, host, value, MachineRecord)
         if value is None:
--- a/src/ramptide/leader.py
+++ b/src/ramptide/leader.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from ramptide import wire
+from ramptide.context import Handle
 from ramptide.fleet import Fleet, Kind, Plan
 from ramptide.limits import Rank
 from ramptide.membership import VIEW
@@ -42,7 +43,7 @@
         self._listed_since: dict[str, timedelta] = {}
         self._missing: set[str] = set()
         self._writing = False
-        controller.context.after(controller.tuning.step, self._step)
+        self._timer: Handle | None = controller.context.after(controller.tuning.step, self._step)
 
     def new_view(self) -> None:
         """A new view rebuilds: nothing is rented before a list that is younger than it."""
@@ -59,7 +60,9 @@
 
     def _step(self) -> None:
         c = self._c
-        c.context.after(c.tuning.step, self._step)
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = c.context.after(c.tuning.step, self._step)
         if not c.membership.leading or c.home is None:
             return
         self._read_list()
@@ -110,7 +113,7 @@
                 txn.when[MACHINE + host] = c.mirror.stamp(MACHINE + host)
                 txn.puts.append((MACHINE + host, to_value(changed), None))
                 log.info("%s (%s, %s): %s", host, present.flavor, present.yard, reason or "stays after all")
-        name = None
+        name: str | None = None
         if plan.rent is not None and txn.size < room:
             self._hired += 1
             name = f"r-{c.view.number}-{c.membership.incarnation}-{self._hired}"
@@ -160,6 +163,8 @@
                 log.info("no capacity for %s in %s%s", kind[0], kind[1], ", spot" if kind[2] else "")
                 self._refused.add(name)
                 self.fleet.refused(kind, self._c.context.now)
+                # Nothing was rented, so the step goes on with the next best kind.
+                self._step()
 
         self._c.cloud.rent(name, *kind, done)
 
