--- a/src/ramptide/agents.py
+++ b/src/ramptide/agents.py
@@ -103,6 +103,13 @@
             ram -= entry.run.ram_gb
         return cores, cards, ram
 
+    def serves_only(self) -> bool:
+        """Nothing runs here that ends by itself, so reports bring no news that anyone waits for."""
+        return all(
+            entry.run is not None and entry.run.shape == wire.SERVICE and entry.phase is not Phase.ENDED
+            for entry in self.entries.values()
+        )
+
     def use(self, image: str) -> None:
         self.images.pop(image, None)
         self.images[image] = None
@@ -376,6 +383,7 @@
             "silent": silent.total_seconds(),
             "notice": None if agent.taken_at is None else (agent.taken_at - now).total_seconds(),
             "failing": len(agent.failing),
+            "quick": agent.current and agent.serves_only(),
             "images": list(agent.images),
             "tasks": [
                 [e.ref, e.task, e.attempt, e.phase.value, e.cause, e.kept] for e in agent.entries.values()
--- a/src/ramptide/app.py
+++ b/src/ramptide/app.py
@@ -66,6 +66,7 @@
     heard: timedelta = ZERO
     notice: timedelta | None = None
     failing: int = 0
+    quick: bool = False
     images: list[str] = field(default_factory=list)
     tasks: list[list[Any]] = field(default_factory=list)
     known: bool = False
@@ -411,13 +412,13 @@
         self._reply(beat.host, answer)
 
     def _worth_holding(self, agent: Agent) -> bool:
-        """An idle machine's answer may wait for a launch: nothing there can change meanwhile but its notice."""
+        """The answer may wait for a launch where no news is expected: no array's task is there to end."""
         return (
             self.tuning.hold > ZERO
             and agent.current
             and agent.record.leaving is None
             and agent.taken_at is None
-            and not any(entry.phase not in (Phase.REFUSED, Phase.GONE) for entry in agent.entries.values())
+            and agent.serves_only()
         )
 
     def _reply(self, host: str, answer: BeatAnswer) -> None:
@@ -490,6 +491,7 @@
             host.settled, host.up, host.leaving = told["settled"], told["up"], told["leaving"]
             host.heard = now - timedelta(seconds=told["silent"])
             host.notice = None if told["notice"] is None else now + timedelta(seconds=told["notice"])
+            host.quick = told["quick"]
             host.failing, host.images, host.tasks = told["failing"], told["images"], told["tasks"]
             if host.settled:
                 self.home.read(name, record.yard, ack, host.tasks, now)
@@ -628,6 +630,7 @@
                     room.take(attempt.run)
                     busy = True
         room.idle = not busy
+        room.quick = host.quick
         return room
 
     def _place(self, now: timedelta) -> None:
--- a/src/ramptide/placement.py
+++ b/src/ramptide/placement.py
@@ -22,6 +22,7 @@
     ram_gb: float
     images: frozenset[str] = frozenset()
     idle: bool = False
+    quick: bool = False
     shunned: frozenset[str] = field(default_factory=frozenset)
 
     def fits(self, run: wire.Run) -> int:
@@ -78,11 +79,7 @@
 
 
 def choose(run: wire.Run, rooms: Iterable[Room], placed: Mapping[str, int]) -> Room | None:
-    """The machine for the next task of a job, or None when none has room.
-
-    Cached images first, since a fetch is what people wait for; then spot for what may use it; a busy
-    machine before an idle one, so that machines empty; then the tightest fit.
-    """
+    """The machine for the next task of a job, or None when none has room."""
     usable = [
         room
         for room in rooms
@@ -101,16 +98,20 @@
             usable = [room for room in usable if room.yard == yard]
     if not usable:
         return None
-    return min(
-        usable,
-        key=lambda room: (
-            run.image not in room.images,
-            run.spot and not room.spot,
-            room.idle,
-            room.cores - run.cores,
-            room.host,
-        ),
-    )
+    return min(usable, key=lambda room: _preference(run, room))
+
+
+def _preference(run: wire.Run, room: Room) -> tuple[bool | float | str, ...]:
+    """Lowest is best. A busy machine goes before an idle one, so that machines empty; then the tightest fit.
+
+    People wait for services: those take a machine that holds the image and whose worker waits for our
+    answer (see `agents`), so that nothing is left to wait for. Arrays keep off these machines, and take
+    spot ones where they may.
+    """
+    missing = run.image not in room.images
+    if run.shape == wire.SERVICE:
+        return (missing, not room.quick, room.spot, room.idle, room.cores - run.cores, room.host)
+    return (run.spot and not room.spot, room.quick and not room.idle, missing, room.idle, room.cores, room.host)
 
 
 def fill(run: wire.Run, tasks: int, rooms: Iterable[Room], placed: Mapping[str, int]) -> int:
--- a/src/ramptide/settings.py
+++ b/src/ramptide/settings.py
@@ -88,7 +88,7 @@
     sick_jobs: int = 2
     hand_over: timedelta = timedelta(seconds=1)
     list_every: timedelta = timedelta(seconds=4)
-    hold: timedelta = timedelta(seconds=1)
+    hold: timedelta = timedelta(seconds=1.5)
 
     def to_value(self) -> dict[str, float | int]:
         """Numbers only; times in seconds."""
