--- a/src/ramptide/app.py
+++ b/src/ramptide/app.py
@@ -162,11 +162,14 @@
 
     def may_start(self) -> bool:
         proof = self._proof()
-        return self.membership.serving and proof is not None and self.context.now - proof < PROOF_FOR_STARTS
+        return self.may_answer() and proof is not None and self.context.now - proof < PROOF_FOR_STARTS
 
     def may_answer(self) -> bool:
         proof = self._proof()
-        return self.membership.serving and proof is not None and self.context.now - proof < self.answer_for
+        if not self.membership.serving or proof is None or self.context.now - proof >= self.answer_for:
+            return False
+        # Another controller acts in a newer view. Its workers must find their new owners, not us.
+        return self.view is not None and self.peers.newest <= self.view.number
 
     def healthy(self) -> bool:
         """We can take requests. Lacking the state service counts only when others have it."""
@@ -342,12 +345,17 @@
     def _others_end(self) -> timedelta | None:
         """The moment after which no member of an earlier view can have answered a report."""
         assert self.view is not None
-        if self.view.lingering:
-            return self.view_at + self.answer_for
-        others = [member for member in self.view.members if member != self.member]
-        if any(member not in self._others_heard for member in others):
-            return None
-        return max([self.view_at, *(self._others_heard[member] for member in others)])
+        ends = [self.view_at]
+        for member, inc in self.view.lingering.items():
+            proof = self.peers.ended(member, inc, self.view.number)
+            ends.append(proof if proof is not None else self.view_at + self.answer_for)
+        for member in self.view.members:
+            if member == self.member:
+                continue
+            if member not in self._others_heard:
+                return None
+            ends.append(self._others_heard[member])
+        return max(ends)
 
     # Users.
 
@@ -444,7 +452,8 @@
         number = self.view.number if self.view is not None and self.part is not None else 0
         if not self.peers.take(body, number):
             return None
-        return cbor2.dumps(msgspec.to_builtins(Answer(self.membership.incarnation, number, self.mirror.lacking)))
+        answer = Answer(self.membership.incarnation, number, self.mirror.lacking, max(number, self.peers.newest))
+        return cbor2.dumps(msgspec.to_builtins(answer))
 
     def _on_sync(self, sync: Sync, peer: Peer) -> None:
         home, part = self.home, self.part
@@ -458,10 +467,11 @@
             self._job_over(ref)
         part.wish(sync.member, sync.seq, sync.wishes, self._takes_tasks)
         if sync.member == self.view.leader:
-            if sync.grants:
+            if sync.grants is not None:
+                # Both at once: the new grants leave out what the leader took over.
                 self.grants, self.grants_ack = sync.grants, sync.seq
-            for ref in sync.took:
-                home.taken_over(ref)
+                for ref in sync.took:
+                    home.taken_over(ref)
             for ref, task, number, grace in sync.evict:
                 self._evict(ref, task, number, timedelta(seconds=grace))
         self._read_floor(sync.member, sync.status, sync.acks.get(self.member, 0))
@@ -643,7 +653,7 @@
             return
         works.sort(key=lambda work: urgency(work.job, wall))
         rooms = [room for room in self._rooms(self.machines) if leads or self._owner(room.host) == self.member]
-        using = home.using()
+        using = home.held()
 
         def allowance(run: wire.Run) -> int:
             return self._headroom(run, using.get(run.team, NOTHING), self.grants.get(run.team, NOTHING))
@@ -729,7 +739,12 @@
         for host, rows in wishes.items():
             by_owner.setdefault(self._owner(host), {})[host] = rows
         part.wish(self.member, home.seq, by_owner.get(self.member, {}), self._takes_tasks)
-        grants = self._divide(home)
+        took = [
+            work.job.ref
+            for work in home.works.values()
+            if work.job.record.hand is not None and work.job.record.hand.view == view.number and self._ready(work)
+        ]
+        grants = self._divide(home, took)
         while self._withdrawn and now - self._withdrawn[0][0] > WITHDRAWN_KEPT:
             self._withdrawn.popleft()
         base = Sync(
@@ -742,6 +757,7 @@
             acks=part.acks,
             status=part.status(now),
             using=home.using(),
+            limbo=home.in_limbo(),
             asking=self.asking(),
             waiting=[
                 self._waiting_of(work, now)
@@ -749,22 +765,14 @@
                 if work.waiting > 0 and work.hold <= now and not self.membership.leading
             ],
             grants_ack=self.grants_ack,
-            took=[
-                work.job.ref
-                for work in home.works.values()
-                if work.job.record.hand is not None and work.job.record.hand.view == view.number and self._ready(work)
-            ],
+            took=took,
             withdrawn=[ref for _, ref in self._withdrawn],
             strangers={beat.host: (beat.rig, beat.yard, beat.spot) for beat in part.strangers.values()},
         )
         for peer in self.peers.all.values():
-            if peer.name in view.members:
-                self.peers.send(
-                    peer,
-                    msgspec.structs.replace(
-                        base, wishes=by_owner.get(peer.name, {}), grants=grants.get(peer.name, {})
-                    ),
-                )
+            # Those outside the view hear of it too, so that they stop to act under an older one.
+            wishes = by_owner.get(peer.name, {})
+            self.peers.send(peer, msgspec.structs.replace(base, wishes=wishes, grants=grants.get(peer.name)))
         self._last_sync = now
 
     def _send_outside(self) -> None:
@@ -772,7 +780,7 @@
         for peer in self.peers.all.values():
             self.peers.send(peer, Sync(self.member, self.membership.incarnation, 0, 0, self.mirror.lacking))
 
-    def _divide(self, home: Home) -> dict[str, dict[str, tuple[float, float]]]:
+    def _divide(self, home: Home, took: list[str]) -> dict[str, dict[str, tuple[float, float]]]:
         """The leader's split of the team limits, once every member knows all that it has to count."""
         view = self.view
         assert view is not None and self.allowances is not None
@@ -785,7 +793,11 @@
             said = self.peers.said(member)
             if said is None or not said.latched:
                 return {}
-            using[member], asking[member] = said.using, said.asking
+            using[member], asking[member] = dict(said.using), said.asking
+            for ref, amounts in said.limbo.items():
+                for team, (cores, cards) in amounts.items() if ref not in took else ():
+                    before = using[member].get(team, NOTHING)
+                    using[member][team] = (before[0] + cores, before[1] + cards)
         grants = self.allowances.divide(home.seq, using, asking, self.member)
         self.allowances.acknowledged(self.member, home.seq)
         self.grants = grants[self.member]
--- a/src/ramptide/fleet.py
+++ b/src/ramptide/fleet.py
@@ -143,19 +143,19 @@
         demands: list[Demand],
         machines: list[Machine],
         flavors: Iterable[wire.Flavor],
-        may_rent: bool,
+        rebuilt: bool,
     ) -> Plan:
         plan = Plan()
         uncovered = self._count(demands, machines)
         self._watch(now)
         self._mind(now, machines, plan)
         self._keep_pool(now, machines)
-        if may_rent:
+        if rebuilt:
             if self.trigger is Trigger.HIGH:
                 plan.rent = self._cheapest(now, uncovered, flavors)
             elif self.trigger is Trigger.QUIET and self._pool_short(machines):
                 plan.rent = self._pool_kind(now, demands, flavors)
-        self._cool_down(now, machines, plan)
+            self._cool_down(now, machines, plan)
         return plan
 
     def _mind(self, now: timedelta, machines: list[Machine], plan: Plan) -> None:
--- a/src/ramptide/http.py
+++ b/src/ramptide/http.py
@@ -1,5 +1,6 @@
 """HTTP/1.1: one parser for every role, a server, and a client with kept-open connections."""
 
+import contextlib
 import errno
 import json
 import logging
@@ -427,10 +428,8 @@
 
 
 def _no_delay(sock: socket.socket) -> None:
-    try:
+    with contextlib.suppress(OSError):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    except OSError:
-        pass
 
 
 Done = Callable[[Message | None], None]
--- a/src/ramptide/jobs.py
+++ b/src/ramptide/jobs.py
@@ -140,7 +140,7 @@
             return
         for entries in self.attempts.values():
             for key in [key for key in entries if key[0] == ref]:
-                # Counted as ours until the new home says that it counts them.
+                # Counted as ours until the new home says that it counts them, and lowers our allowance for it.
                 self.limbo.setdefault(ref, []).append(entries.pop(key))
         self.touched = True
 
@@ -208,6 +208,8 @@
         for attempt in list(self.attempts.get(host, {}).values()):
             attempt.phase = Phase.GONE
             self._drop(attempt)
+        for attempts in self.limbo.values():
+            attempts[:] = [attempt for attempt in attempts if attempt.host != host]
 
     # What owners show.
 
@@ -228,6 +230,12 @@
             attempt = entries.get(key) or self._found(host, yard, key, Phase(phase), now)
             if attempt is not None:
                 self._advance(attempt, Phase(phase), cause, now)
+        for ref, attempts in list(self.limbo.items()):
+            left = [a for a in attempts if a.host != host or a.key in shown or ack < a.seq]
+            if left:
+                self.limbo[ref] = left
+            else:
+                del self.limbo[ref]
         for attempt in list(self.attempts.get(host, {}).values()):
             if attempt.key in shown or ack < attempt.seq:
                 continue
@@ -299,13 +307,24 @@
 
     def using(self) -> dict[str, Amounts]:
         """What each team's attempts hold: whatever may possibly be on a machine counts."""
-        using: dict[str, Amounts] = {}
-        limbo = [attempt for attempts in self.limbo.values() for attempt in attempts]
-        for attempt in [*self.all_attempts(), *limbo]:
-            if attempt.phase not in OVER:
-                cores, cards = using.get(attempt.run.team, (0.0, 0.0))
-                using[attempt.run.team] = (cores + attempt.run.cores, cards + attempt.run.cards)
-        return using
+        return _sum(self.all_attempts())
+
+    def in_limbo(self) -> dict[str, dict[str, Amounts]]:
+        """The same for each job that was handed over and that its new home does not count yet."""
+        return {ref: _sum(attempts) for ref, attempts in self.limbo.items()}
+
+    def held(self) -> dict[str, Amounts]:
+        """Both together: what our allowance has to cover."""
+        return _sum([*self.all_attempts(), *(a for attempts in self.limbo.values() for a in attempts)])
+
+
+def _sum(attempts: Iterable[Attempt]) -> dict[str, Amounts]:
+    total: dict[str, Amounts] = {}
+    for attempt in attempts:
+        if attempt.phase not in OVER:
+            cores, cards = total.get(attempt.run.team, (0.0, 0.0))
+            total[attempt.run.team] = (cores + attempt.run.cores, cards + attempt.run.cards)
+    return total
 
 
 def urgency(job: Job, now: datetime) -> tuple[Any, ...]:
--- a/src/ramptide/leader.py
+++ b/src/ramptide/leader.py
@@ -67,14 +67,15 @@
             return
         self._read_list()
         self._ask_again()
-        if self._writing or not c.latched or c.mirror.lacking:
+        if self._writing or c.mirror.lacking:
             return
         self.fleet.tuning = c.tuning
         listed = {host: rented.status for host, rented in self._listed.items()}
         machines = c.machines_known(listed, self._missing)
-        plan = self.fleet.step(
-            c.context.now, c.demands(), machines, c.flavors.values(), may_rent=self._list_at is not None
-        )
+        # Nothing is rented before a new leader has rebuilt what it knows from reports and a fresh list.
+        # Lost machines are given back meanwhile: the answer proves them gone, and that settles them.
+        rebuilt = c.latched and self._list_at is not None
+        plan = self.fleet.step(c.context.now, c.demands(), machines, c.flavors.values(), rebuilt)
         self._return(plan)
         self._write(plan)
 
--- a/src/ramptide/loop.py
+++ b/src/ramptide/loop.py
@@ -1,5 +1,6 @@
 """The event loop: sockets through `selectors`, and timers. The only reader of the steady clock."""
 
+import contextlib
 import functools
 import heapq
 import itertools
@@ -51,10 +52,8 @@
             self._selector.register(sock, events, ready)
 
     def unwatch(self, sock: socket.socket) -> None:
-        try:
+        with contextlib.suppress(KeyError, ValueError):
             self._selector.unregister(sock)
-        except (KeyError, ValueError):
-            pass
 
     def stop(self) -> None:
         self._running = False
--- a/src/ramptide/peers.py
+++ b/src/ramptide/peers.py
@@ -32,7 +32,8 @@
     using: dict[str, tuple[float, float]] = {}
     asking: dict[str, tuple[float, float]] = {}
     waiting: list[tuple[str, int, float]] = []
-    grants: dict[str, tuple[float, float]] = {}
+    limbo: dict[str, dict[str, tuple[float, float]]] = {}
+    grants: dict[str, tuple[float, float]] | None = None
     grants_ack: int = 0
     took: list[str] = []
     withdrawn: list[str] = []
@@ -41,11 +42,13 @@
 
 
 class Answer(msgspec.Struct):
-    """The receiver's word on whether it lacks the state service too, and in which view it is."""
+    """The receiver's word on whether it lacks the state service too, in which view it acts, and the
+    newest that it knows of: it renews no lease under an older one any more."""
 
     inc: str
     view: int
     lacks: bool
+    newest: int
 
 
 @dataclass(slots=True)
@@ -56,13 +59,16 @@
     order: tuple[int, str, int] = (0, "", 0)
     said: Sync | None = None
     agreed: timedelta | None = None
-    heard: timedelta | None = None
+    answered: timedelta | None = None
+    inc: str = ""
+    newest: int = 0
 
 
 class Peers:
     def __init__(self, context: Context, siblings: dict[str, str], receive: Callable[[Sync, Peer], None]) -> None:
         self._context = context
         self._receive = receive
+        self.newest = 0
         self.all = {name: Peer(name, address) for name, address in siblings.items()}
 
     def new_view(self) -> None:
@@ -90,7 +96,7 @@
             except (msgspec.ValidationError, cbor2.CBORDecodeError, ValueError) as error:
                 log.error("broken answer of %s: %s", peer.name, error)
                 return
-            peer.heard = sent
+            peer.answered, peer.inc, peer.newest = self._context.now, answer.inc, answer.newest
             # It lacks the state service now, and stands in our view or (just started) in none: nobody
             # there can have moved the view on between our asking and its answer.
             if sync.lacks and answer.lacks and answer.view in (0, sync.view):
@@ -104,6 +110,14 @@
         known = [moment for moment in moments if moment is not None]
         return min(known) if len(known) == len(moments) else None
 
+    def ended(self, member: str, inc: str, view: int) -> timedelta | None:
+        """The moment by which this process surely answered no more reports under a view before `view`:
+        it was told of a newer one, or another process has taken its place. None without proof."""
+        peer = self.all.get(member)
+        if peer is None or peer.answered is None:
+            return None
+        return peer.answered if peer.inc != inc or peer.newest >= view else None
+
     def take(self, body: bytes, view: int) -> bool:
         """A message of another controller; False when it is none."""
         try:
@@ -114,6 +128,7 @@
         peer = self.all.get(sync.member)
         if peer is None:
             return False
+        self.newest = max(self.newest, sync.view)
         order = (sync.view, sync.inc, sync.seq)
         if peer.order[:2] == order[:2] and sync.seq <= peer.order[2] or sync.view < peer.order[0]:
             return True
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,6 @@
+"""Puts the sources on the path; the libraries come from target/ci or the environment."""
+
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
--- /dev/null
+++ b/tests/test_world.py
@@ -0,0 +1,181 @@
+"""Whole controllers on a virtual clock, judged by the plain model of the rules."""
+
+import pytest
+from chaos import play
+from world import S, World, leader, started
+
+from ramptide.app import Controller
+
+
+@pytest.mark.parametrize("seed", range(24))
+def test_no_rule_is_broken_in_generated_histories(seed: int) -> None:
+    world = play(seed)
+    assert world.rules.broken == []
+    assert world.rules.starts > 0
+
+
+def busy_world(seed: int = 3, **fields: object) -> World:
+    """A world with a long job running on several machines."""
+    world = started(seed, teams={"team": 0.0, "tight": 12.0})
+    world.submit("j-1", **({"pieces": 6, "cores": 4.0, "guessS": 40.0} | fields))
+    assert world.accepted("j-1", "c0")
+    assert world.run_until(lambda: len(world.rules.on_machines()) == 6 or "owner" in fields, 30)
+    return world
+
+
+def cut_worker_and_crash(world: World) -> None:
+    """A machine with a running task is cut off; then the owner of the machine crashes and comes back."""
+    worker, _ = world.rules.on_machines()[0]
+    for name in world.names:
+        world.cut(worker.host, name)
+    for name in world.names:
+        world.nodes[name].kill()
+    for name in world.names:
+        world.nodes[name].start()
+    world.run(15)
+
+
+def test_settled_guard_holds() -> None:
+    world = busy_world()
+    cut_worker_and_crash(world)
+    assert world.rules.broken == []
+
+
+def test_without_the_settled_guard_a_task_runs_twice(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Controller, "_all_settled", lambda self: True)
+    world = busy_world()
+    cut_worker_and_crash(world)
+    assert any("ran_twice" in rule for rule in world.rules.broken)
+
+
+def cancel_behind_a_cut(world: World) -> None:
+    """The owner of a machine loses all but its workers; the job is cancelled elsewhere meanwhile, and the
+    cloud is down, so that the silent machines cannot be given back."""
+    world.cloud.down = True
+    worker, _ = world.rules.on_machines()[0]
+    parts = {name: node.controller.part for name, node in world.nodes.items() if node.controller is not None}
+    owner = next(name for name, part in parts.items() if part is not None and worker.host in part.agents)
+    world.isolate(owner, *world.workers)
+    world.run(6)
+    other = next(name for name in world.names if name != owner)
+    assert world.run_until(lambda: world.cancel("j-1", other), 10)
+    for _ in range(250):
+        world.run(0.1)
+        world.rules.check()
+
+
+def test_authority_guard_holds() -> None:
+    world = busy_world(guessS=500.0)
+    cancel_behind_a_cut(world)
+    assert world.rules.broken == []
+
+
+def test_without_the_authority_guard_a_cancelled_task_runs_on(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Controller, "may_answer", lambda self: self.membership.serving)
+    world = busy_world(guessS=500.0)
+    cancel_behind_a_cut(world)
+    assert any("ran_cancelled" in rule for rule in world.rules.broken)
+
+
+def test_an_agreed_outage_kills_no_work() -> None:
+    """All lack the state service: leases are renewed for as long as all say so."""
+    world = busy_world(guessS=60.0)
+    before = {(t.ref, t.number, t.attempt) for _, t in world.rules.on_machines()}
+    world.state.outage(40)
+    world.run(39)
+    assert {(t.ref, t.number, t.attempt) for _, t in world.rules.on_machines()} == before
+
+
+def test_a_job_survives_the_loss_of_all_controllers() -> None:
+    world = busy_world(guessS=12.0)
+    for name in world.names:
+        world.nodes[name].kill()
+    world.run(2)
+    for name in world.names:
+        world.nodes[name].start()
+    assert world.run_until(lambda: world.done("j-1"), 60)
+    assert world.rules.broken == []
+    answer = world.poll("j-1", "c2")
+    assert answer is not None and answer[1]["status"] == "done"
+
+
+def test_a_lost_machine_is_replaced_and_its_tasks_run_again() -> None:
+    world = busy_world(guessS=10.0)
+    worker, _ = world.rules.on_machines()[0]
+    worker.die()
+    assert world.run_until(lambda: world.done("j-1"), 60)
+    assert world.rules.broken == []
+
+
+def test_a_cut_off_leader_is_replaced_and_gives_way() -> None:
+    world = busy_world(guessS=15.0)
+    old = leader(world)
+    world.isolate(old, *world.workers)
+    world.run(25)
+    assert leader_of_others(world, old) != old
+    world.heal()
+    assert world.run_until(lambda: world.done("j-1"), 60)
+    assert world.rules.broken == []
+
+
+def leader_of_others(world: World, old: str) -> str:
+    views = [node.controller.view for name, node in world.nodes.items() if name != old and node.controller is not None]
+    return max((view for view in views if view is not None), key=lambda view: view.number).leader
+
+
+def test_a_job_that_fails_everywhere_leaves_the_counts() -> None:
+    world = started(5)
+    world.submit("j-1", pieces=2)
+    assert world.accepted("j-1", "c1")
+    world.run(1)
+    for _ in range(300):
+        for worker in world.workers.values():
+            worker.sick = True
+        world.run(0.1)
+    assert len(world.workers) < 8
+    controller = world.nodes[leader(world)].controller
+    assert controller is not None
+    works = [w for node in world.nodes.values() if node.controller is not None and node.controller.home is not None
+             for w in node.controller.home.works.values()]  # fmt: skip
+    assert any(work.backoff > 0 * S for work in works)
+
+
+def test_idle_machines_are_returned_down_to_the_pool() -> None:
+    world = busy_world(guessS=5.0)
+    assert world.run_until(lambda: world.done("j-1"), 40)
+    world.run(80)
+    controller = world.nodes[leader(world)].controller
+    assert controller is not None
+    assert sum(worker.alive for worker in world.workers.values()) == controller.tuning.pool_size
+
+
+def test_late_copies_of_transactions_do_nothing() -> None:
+    """Every request is carried out again some seconds later."""
+    world = started(8)
+    world.repeat = 1.0
+    world.submit("j-1", pieces=3, guessS=4.0)
+    assert world.accepted("j-1", "c0")
+    world.submit("j-2", pieces=3, guessS=60.0)
+    assert world.accepted("j-2", "c1")
+    assert world.run_until(lambda: world.cancel("j-2", "c2"), 10)
+    assert world.run_until(lambda: world.done("j-1"), 60)
+    world.run(25)
+    for name in world.names:
+        answer = world.poll("j-2", name)
+        assert answer is not None and (answer[0], answer[1]["status"]) == (200, "withdrawn")
+    assert world.rules.broken == []
+
+
+def test_answers_to_users_while_the_state_service_is_down() -> None:
+    world = busy_world(guessS=60.0)
+    world.state.outage(10)
+    world.run(3)
+    answer = world.poll("j-1", "c0")
+    assert answer is not None and answer[0] == 503
+    unknown = world.poll("j-999", "c0")
+    assert unknown is not None and unknown[0] == 503
+    world.run(12)
+    answer = world.poll("j-1", "c0")
+    assert answer is not None and answer[1]["running"] == 6
+    unknown = world.poll("j-999", "c0")
+    assert unknown is not None and unknown[0] == 404
