--- a/src/ramptide/leader.py
+++ b/src/ramptide/leader.py
@@ -114,17 +114,17 @@
                 txn.when[MACHINE + host] = c.mirror.stamp(MACHINE + host)
                 txn.puts.append((MACHINE + host, to_value(changed), None))
                 log.info("%s (%s, %s): %s", host, present.flavor, present.yard, reason or "stays after all")
-        name: str | None = None
+        hire_name: str | None = None
         if plan.rent is not None and txn.size < room:
             self._hired += 1
-            name = f"r-{c.view.number}-{c.membership.incarnation}-{self._hired}"
+            hire_name = f"r-{c.view.number}-{c.membership.incarnation}-{self._hired}"
             hire = HireRecord(plan.rent[0], plan.rent[1], plan.rent[2], wall)
-            txn.puts.append((HIRE + name, to_value(hire), None))
+            txn.puts.append((HIRE + hire_name, to_value(hire), None))
         if self.flavors_read and txn.size < room:
             self.flavors_read = False
             txn.puts.append((FLAVORS, [msgspec.to_builtins(flavor) for flavor in c.flavors.values()], None))
         if txn.size:
-            self._commit(txn, name, plan.rent)
+            self._commit(txn, hire_name, plan.rent)
 
     def _commit(self, txn: Txn, name: str | None, kind: Kind | None) -> None:
         self._writing = True
--- a/src/ramptide/settings.py
+++ b/src/ramptide/settings.py
@@ -67,6 +67,8 @@
     "sick_jobs": Bound(1, 100, "different jobs failing in a row that make a machine sick"),
     "hand_over": Bound(0, 600, "seconds that a task waits in a part before its job goes to the leader"),
     "list_every": Bound(1, 600, "seconds between two readings of the cloud's list"),
+    "guess_margin": Bound(0.1, 10, "what a task's estimated time is multiplied by before it is trusted"),
+    "patience": Bound(0, 3600, "seconds that work without a reachable deadline may wait for room to free up"),
     "hold": Bound(0, 3, "seconds that a report may wait for a launch before it is answered"),
 }
 
@@ -88,6 +90,8 @@
     sick_jobs: int = 2
     hand_over: timedelta = timedelta(seconds=1)
     list_every: timedelta = timedelta(seconds=4)
+    guess_margin: float = 1.3
+    patience: timedelta = timedelta(seconds=20)
     hold: timedelta = timedelta(seconds=1.5)
 
     def to_value(self) -> dict[str, float | int]:
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -179,3 +179,13 @@
     assert answer is not None and answer[1]["running"] == 6
     unknown = world.poll("j-999", "c0")
     assert unknown is not None and unknown[0] == 404
+
+
+def test_a_change_of_view_costs_no_healthy_machine() -> None:
+    """Old machines have not reported in the new view yet; that is no reason to give them back."""
+    world = busy_world(guessS=200.0)
+    world.run(40)
+    before = {worker.host for worker, _ in world.rules.on_machines()}
+    world.nodes[leader(world)].kill()
+    world.run(30)
+    assert {worker.host for worker, _ in world.rules.on_machines()} == before
