--- a/src/ramptide/app.py
+++ b/src/ramptide/app.py
@@ -131,6 +131,7 @@
         self.latched = False
         self.grants: dict[str, tuple[float, float]] = {}
         self.grants_ack = 0
+        self.pool: list[str] = []
         self._others_heard: dict[str, timedelta] = {}
         self._held: dict[str, Held] = {}
         self._flushing = False
@@ -467,6 +468,7 @@
             self._job_over(ref)
         part.wish(sync.member, sync.seq, sync.wishes, self._takes_tasks)
         if sync.member == self.view.leader:
+            self.pool = sync.pool
             if sync.grants is not None:
                 # Both at once: the new grants leave out what the leader took over.
                 self.grants, self.grants_ack = sync.grants, sync.seq
@@ -641,6 +643,8 @@
                     busy = True
         room.idle = not busy
         room.quick = host.quick
+        # Services are what people wait for: the pool and the machines that run only services are theirs.
+        room.kept = not record.spot and (name in self.pool or busy and host.quick)
         return room
 
     def _place(self, now: timedelta) -> None:
@@ -766,6 +770,7 @@
             ],
             grants_ack=self.grants_ack,
             took=took,
+            pool=self.pool,
             withdrawn=[ref for _, ref in self._withdrawn],
             strangers={beat.host: (beat.rig, beat.yard, beat.spot) for beat in part.strangers.values()},
         )
--- a/src/ramptide/fleet.py
+++ b/src/ramptide/fleet.py
@@ -247,19 +247,20 @@
             for m in machines
             if m.up and not m.tasks and m.room is not None and m.record.leaving is None
         }
+        ordinary = {host for host, machine in idle.items() if not machine.record.spot}
         self._idle_since = {host: self._idle_since.get(host, now) for host in idle}
 
-        def worth(host: str) -> tuple[bool, int, float, str]:
+        def worth(host: str) -> tuple[int, float, str]:
             machine = idle[host]
             assert machine.room is not None
             images = sum(self._popular[image] for image in machine.room.images)
             price = machine.flavor.price if machine.flavor is not None else 0.0
-            return (machine.record.spot, -images, price, host)
+            return (-images, price, host)
 
-        self.pool = sorted(idle, key=worth)[: self.tuning.pool_size]
+        self.pool = sorted(ordinary, key=worth)[: self.tuning.pool_size]
 
     def _pool_short(self, machines: list[Machine]) -> bool:
-        booting = sum(not m.up and m.record.leaving is None for m in machines)
+        booting = sum(not m.up and not m.record.spot and m.record.leaving is None for m in machines)
         return len(self.pool) + booting < self.tuning.pool_size
 
     def _cool_down(self, now: timedelta, machines: list[Machine], plan: Plan) -> None:
--- a/src/ramptide/leader.py
+++ b/src/ramptide/leader.py
@@ -76,6 +76,7 @@
         # Lost machines are given back meanwhile: the answer proves them gone, and that settles them.
         rebuilt = c.latched and self._list_at is not None
         plan = self.fleet.step(c.context.now, c.demands(), machines, c.flavors.values(), rebuilt)
+        c.pool = self.fleet.pool
         self._return(plan)
         self._write(plan)
 
--- a/src/ramptide/peers.py
+++ b/src/ramptide/peers.py
@@ -36,6 +36,7 @@
     grants: dict[str, tuple[float, float]] | None = None
     grants_ack: int = 0
     took: list[str] = []
+    pool: list[str] = []
     withdrawn: list[str] = []
     strangers: dict[str, tuple[str, str, bool]] = {}
     evict: list[tuple[str, int, int, float]] = []
--- a/src/ramptide/placement.py
+++ b/src/ramptide/placement.py
@@ -11,7 +11,10 @@
 
 @dataclass(slots=True)
 class Room:
-    """What is free on a machine, and what matters for choosing it."""
+    """What is free on a machine, and what matters for choosing it.
+
+    `quick`: its worker waits for our answer, so a launch leaves at once. `kept`: for services only.
+    """
 
     host: str
     flavor: str
@@ -23,6 +26,7 @@
     images: frozenset[str] = frozenset()
     idle: bool = False
     quick: bool = False
+    kept: bool = False
     shunned: frozenset[str] = field(default_factory=frozenset)
 
     def fits(self, run: wire.Run) -> int:
@@ -85,6 +89,7 @@
         for room in rooms
         if may_use(run, room.flavor, room.yard, room.spot)
         and run.ref not in room.shunned
+        and (not room.kept or run.shape == wire.SERVICE)
         and room.fits(run)
         and zone_room(run, room.yard, placed)
     ]
@@ -123,6 +128,8 @@
             break
         if not may_use(run, room.flavor, room.yard, room.spot) or run.ref in room.shunned:
             continue
+        if room.kept and run.shape != wire.SERVICE:
+            continue
         count = min(room.fits(run), tasks - found, zone_room(run, room.yard, here))
         if count:
             room.take(run, count)
--- a/src/ramptide/settings.py
+++ b/src/ramptide/settings.py
@@ -83,15 +83,15 @@
     long_wait: timedelta = timedelta(seconds=10)
     long_waiting_high: int = 1
     cooldown: timedelta = timedelta(seconds=20)
-    pool_size: int = 2
+    pool_size: int = 1
     horizon: timedelta = timedelta(seconds=90)
     boot_factor: float = 3.0
     silent_leases: float = 1.3
     sick_jobs: int = 2
     hand_over: timedelta = timedelta(seconds=1)
     list_every: timedelta = timedelta(seconds=4)
-    guess_margin: float = 1.3
-    patience: timedelta = timedelta(seconds=20)
+    guess_margin: float = 2.0
+    patience: timedelta = timedelta(seconds=10)
     hold: timedelta = timedelta(seconds=1.5)
 
     def to_value(self) -> dict[str, float | int]:
