--- a/src/ramptide/fleet.py
+++ b/src/ramptide/fleet.py
@@ -90,6 +90,7 @@
         self.waiting = 0
         self.long_waiting = 0
         self.pool: list[str] = []
+        self._late: list[Demand] = []
 
     # Signals.
 
@@ -120,7 +121,7 @@
             left = demand.tasks - fill(demand.run, demand.tasks, rooms, demand.placed)
             if left > 0:
                 uncovered.append(replace(demand, tasks=left))
-        uncovered = self._not_in_time(uncovered, machines)
+        self._late = self._not_in_time(uncovered, machines)
         for demand in uncovered:
             self.waiting += demand.tasks
             if demand.waited > self.tuning.long_wait:
@@ -287,7 +288,7 @@
             room = Room("", flavor.name, yard, spot, flavor.cores, flavor.cards, flavor.ram_gb)
             boot = timedelta(seconds=flavor.boot_s)
             work = 0.0
-            for demand in uncovered:
+            for demand in uncovered if spot or not self.tuning.thrifty else self._late:
                 taken = fill(demand.run, demand.tasks, [room], demand.placed)
                 size = max(demand.run.cores / flavor.cores, demand.run.ram_gb / max(flavor.ram_gb, 1e-9))
                 size = max(size, demand.run.cards / flavor.cards if flavor.cards else 0.0)
