--- a/src/ramptide/app.py
+++ b/src/ramptide/app.py
@@ -852,7 +852,6 @@
         machines = []
         for name, record in self.machines.items():
             host = self.floor.get(name) or Host()
-            serving, running = self._load(host)
             machines.append(
                 Machine(
                     host=name,
@@ -867,27 +866,12 @@
                     + (len(self.home.attempts.get(name, {})) if self.home is not None else 0),
                     room=rooms.get(name),
                     drained=host.known and host.leaving and not host.busy(),
-                    serving=serving,
-                    running=running,
                     listed=listed.get(name),
                     known=name not in missing,
                 )
             )
         return machines
 
-    def _load(self, host: Host) -> tuple[float, timedelta]:
-        """The cores that services hold on a machine, and the core time that its arrays' tasks still need."""
-        serving, running = 0.0, ZERO
-        for row in host.tasks:
-            job = self.jobs.get(row[0])
-            if job is None or Phase(row[3]) in OVER:
-                continue
-            if job.run.shape == wire.SERVICE:
-                serving += job.run.cores
-            else:
-                running += timedelta(seconds=job.run.guess_s * job.run.cores / 2)
-        return serving, running
-
     def demands(self) -> list[Demand]:
         """Waiting tasks of all homes that their team's limit lets run now, the most urgent first."""
         assert self.home is not None and self.view is not None
@@ -919,8 +903,7 @@
             if tasks > 0:
                 before = using.get(run.team, NOTHING)
                 using[run.team] = (before[0] + run.cores * tasks, before[1] + run.cards * tasks)
-                due_in = job.due - wall if job.due is not None else None
-                demands.append(Demand(run, tasks, timedelta(seconds=row[2]), Counter(placed), due_in))
+                demands.append(Demand(run, tasks, timedelta(seconds=row[2]), Counter(placed)))
         return demands
 
     def strangers(self) -> dict[str, tuple[str, str, bool]]:
--- a/src/ramptide/fleet.py
+++ b/src/ramptide/fleet.py
@@ -21,9 +21,6 @@
 HOUR = timedelta(hours=1)
 REFUSED_FIRST = timedelta(seconds=5)
 REFUSED_MOST = timedelta(seconds=40)
-MOST_BOOT = timedelta(seconds=150)
-REPORTING = timedelta(seconds=4)
-FILL = 0.85
 
 Kind = tuple[str, str, bool]
 
@@ -43,21 +40,18 @@
     tasks: int
     room: Room | None
     drained: bool
-    serving: float = 0.0
-    running: timedelta = ZERO
     listed: str | None = None
     known: bool = True
 
 
 @dataclass(slots=True)
 class Demand:
-    """Tasks of one job that wait and that its team's limit lets run; `due_in` is None without a deadline."""
+    """Tasks of one job that wait and that its team's limit lets run."""
 
     run: wire.Run
     tasks: int
     waited: timedelta
     placed: Counter[str]
-    due_in: timedelta | None = None
 
 
 class Trigger(Enum):
@@ -90,7 +84,6 @@
         self.waiting = 0
         self.long_waiting = 0
         self.pool: list[str] = []
-        self._late: list[Demand] = []
 
     # Signals.
 
@@ -121,56 +114,12 @@
             left = demand.tasks - fill(demand.run, demand.tasks, rooms, demand.placed)
             if left > 0:
                 uncovered.append(replace(demand, tasks=left))
-        self._late = self._not_in_time(uncovered, machines)
         for demand in uncovered:
             self.waiting += demand.tasks
             if demand.waited > self.tuning.long_wait:
                 self.long_waiting += demand.tasks
         return uncovered
 
-    def _not_in_time(self, demands: list[Demand], machines: list[Machine]) -> list[Demand]:
-        """Leaves out the tasks that rooms which free up or boot can still finish by their deadlines.
-
-        A new machine is paid from its request on, so short tasks that can wait for a room are no reason
-        to rent one. Counted as a fluid, the earliest deadline first: the work due by a moment against what
-        the machines can do until then.
-        """
-        ready = [
-            (m.flavor, ZERO if m.up else max(timedelta(seconds=m.flavor.boot_s) - m.age, ZERO), m.serving)
-            for m in machines
-            if m.flavor is not None and m.record.leaving is None and (m.up or m.age < MOST_BOOT)
-        ]
-        boots = [timedelta(seconds=flavor.boot_s) for flavor, _, _ in ready]
-        boot = min(boots) if boots else ZERO
-        load = sum((m.running for m in machines), ZERO)
-        found = []
-        for demand in sorted(demands, key=lambda one: self._due(one, boot)):
-            due = self._due(demand, boot)
-            if demand.run.shape == wire.SERVICE or due <= ZERO:
-                found.append(demand)
-                continue
-            each = timedelta(seconds=max(demand.run.guess_s, 1.0)) * self.tuning.guess_margin
-            able = ZERO
-            for flavor, wait, serving in ready:
-                able += max(due - wait, ZERO) * (max(flavor.cores - serving, 0.0) * FILL)
-            size = each * max(demand.run.cores, 1e-3)
-            spare = able - load
-            fit = min(demand.tasks, max(0, int(spare / size))) if due > each else 0
-            load += size * fit
-            if fit < demand.tasks:
-                found.append(replace(demand, tasks=demand.tasks - fit))
-        return found
-
-    def _due(self, demand: Demand, boot: timedelta) -> timedelta:
-        """Until when a demand may wait and run. One that no new machine could bring in on time has longer."""
-        each = timedelta(seconds=demand.run.guess_s) * self.tuning.guess_margin
-        patience = boot + each + self.tuning.patience
-        if demand.run.shape == wire.SERVICE:
-            return ZERO
-        if demand.due_in is None or demand.due_in < boot + each:
-            return patience
-        return demand.due_in - REPORTING
-
     def _watch(self, now: timedelta) -> None:
         high = self.waiting >= self.tuning.waiting_high or self.long_waiting >= self.tuning.long_waiting_high
         if not high:
@@ -288,7 +237,7 @@
             room = Room("", flavor.name, yard, spot, flavor.cores, flavor.cards, flavor.ram_gb)
             boot = timedelta(seconds=flavor.boot_s)
             work = 0.0
-            for demand in uncovered if spot or not self.tuning.thrifty else self._late:
+            for demand in uncovered:
                 taken = fill(demand.run, demand.tasks, [room], demand.placed)
                 size = max(demand.run.cores / flavor.cores, demand.run.ram_gb / max(flavor.ram_gb, 1e-9))
                 size = max(size, demand.run.cards / flavor.cards if flavor.cards else 0.0)
--- a/src/ramptide/settings.py
+++ b/src/ramptide/settings.py
@@ -67,9 +67,6 @@
     "sick_jobs": Bound(1, 100, "different jobs failing in a row that make a machine sick"),
     "hand_over": Bound(0, 600, "seconds that a task waits in a part before its job goes to the leader"),
     "list_every": Bound(1, 600, "seconds between two readings of the cloud's list"),
-    "guess_margin": Bound(0.1, 10, "what a task's estimated time is multiplied by before it is trusted"),
-    "patience": Bound(0, 3600, "seconds that work without a reachable deadline may wait for room to free up"),
-    "thrifty": Bound(0, 1, "1: ordinary machines are rented only for what present ones cannot finish in time"),
     "hold": Bound(0, 3, "seconds that a report may wait for a launch before it is answered"),
 }
 
@@ -91,9 +88,6 @@
     sick_jobs: int = 2
     hand_over: timedelta = timedelta(seconds=1)
     list_every: timedelta = timedelta(seconds=4)
-    guess_margin: float = 2.0
-    patience: timedelta = timedelta(seconds=10)
-    thrifty: int = 0
     hold: timedelta = timedelta(seconds=1.5)
 
     def to_value(self) -> dict[str, float | int]:
