--- a/src/ramptide/admin.py
+++ b/src/ramptide/admin.py
@@ -154,6 +154,7 @@
             "starts": "task starts decided here",
             "rentals": "machines rented",
             "returns": "machines returned",
+            "preemptions": "tasks stopped for others as decided here",
             "requests": "requests of users",
             "reports": "reports of workers",
         }
--- a/src/ramptide/app.py
+++ b/src/ramptide/app.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from datetime import timedelta
+from functools import partial
 from typing import Any
 
 import cbor2
@@ -24,6 +25,7 @@
 from ramptide.mirror import Mirror
 from ramptide.peers import Answer, Peer, Peers, Sync
 from ramptide.placement import Room, fill
+from ramptide.preemption import OnMachine, choose_victims, may_claim
 from ramptide.records import (
     ENDED,
     FLAVORS,
@@ -52,6 +54,9 @@
 WITHDRAWN_KEPT = timedelta(seconds=60)
 FLAVORS_EVERY = timedelta(seconds=60)
 MANY = 10**9
+PREEMPT_EVERY = timedelta(milliseconds=500)
+EVICTION_KEPT = timedelta(seconds=5)
+EVICTIONS_AT_ONCE = 40
 
 BeatAnswer = Callable[[int, bytes], None]
 
@@ -83,6 +88,20 @@
     until: timedelta
 
 
+@dataclass(slots=True)
+class Eviction:
+    """A task that was told to give way to a job."""
+
+    claimant: str
+    at: timedelta
+    grace: float
+
+
+def _add(total: dict[str, tuple[float, float]], team: str, cores: float, cards: float) -> None:
+    before = total.get(team, NOTHING)
+    total[team] = (before[0] + cores, before[1] + cards)
+
+
 class Controller:
     def __init__(self, context: Context, settings: wire.Settings, incarnation: str) -> None:
         self.context = context
@@ -95,6 +114,7 @@
         # cancellation that others may have promised since.
         self.answer_for = timedelta(seconds=cluster.workers.cancel_s) - self.lease * DRIFT - ANSWER_MARGIN
         self.teams = {team.name: team for team in cluster.teams}
+        self.guarantees = {team.name: (team.cpus, team.gpus) for team in cluster.teams if team.cpus or team.gpus}
         self.tuning = Tuning()
         self.jobs: dict[str, Job] = {}
         self.machines: dict[str, MachineRecord] = {}
@@ -141,7 +161,8 @@
         self._last_round = ZERO
         self._last_sync = ZERO
         self._part_version = -1
-        self._lacking_since: timedelta | None = None
+        self._evictions: dict[tuple[str, int, int], Eviction] = {}
+        self._preempted_at = ZERO
 
     def start(self) -> None:
         log.info("%s starts as %s", self.member, self.membership.incarnation)
@@ -320,6 +341,7 @@
         self.latched = False
         self.grants, self.grants_ack = {}, 0
         self._others_heard.clear()
+        self._evictions.clear()
         self.peers.new_view()
         self.leader.new_view()
         for held in self._held.values():
@@ -485,7 +507,9 @@
         assert self.home is not None
         work = self.home.works.get(ref)
         attempt = work.placed.get(task) if work is not None else None
-        if attempt is not None and attempt.number == number:
+        if work is not None and attempt is not None and attempt.number == number:
+            # The room is for another job: this one looks elsewhere for a while.
+            work.shunned[attempt.host] = self.context.now + EVICTION_KEPT
             self.home.stop(attempt, grace)
 
     def _takes_tasks(self, agent: Agent) -> bool:
@@ -542,6 +566,7 @@
         self._clear_machines(now)
         if self.may_start():
             self._place(now)
+            self._preempt(now)
             self._hand_over(now)
         self._sync_out(now)
         self._part_version = part.version
@@ -668,14 +693,95 @@
             count = len(work.placed) - before
             if count:
                 run = work.job.run
-                cores, cards = using.get(run.team, NOTHING)
-                using[run.team] = (cores + run.cores * count, cards + run.cards * count)
+                _add(using, run.team, run.cores * count, run.cards * count)
                 self.counters["starts"] += count
             if work.waiting == 0:
                 work.waiting_since = None
             elif work.waiting_since is None:
                 work.waiting_since = now
 
+    def _preempt(self, now: timedelta) -> None:
+        """The leader makes room for jobs that may claim it: by rank, or within their team's guarantee.
+
+        Only jobs that found no room for `preempt_after` claim any, most urgent first; the homes of the
+        tasks that give way are told to stop them.
+        """
+        home = self.home
+        assert home is not None
+        self._evictions = {key: one for key, one in self._evictions.items() if now - one.at < EVICTION_KEPT}
+        if not self.membership.leading or not self.latched or now - self._preempted_at < PREEMPT_EVERY:
+            return
+        self._preempted_at = now
+        claims = [
+            work
+            for work in home.works.values()
+            if work.waiting_since is not None
+            and work.waiting > 0
+            and now - work.waiting_since >= self.tuning.preempt_after
+            and work.hold <= now
+            and self._ready(work)
+        ]
+        if not claims:
+            return
+        wall = self.context.wall()
+        rooms = list(self._rooms(self.machines))
+        tasks = {room.host: self._stoppable(room.host) for room in rooms}
+        using = self._team_use()
+        for work in sorted(claims, key=lambda one: urgency(one.job, wall)):
+            run = work.job.run
+            promised = sum(one.claimant == run.ref for one in self._evictions.values())
+            left = min(
+                work.waiting - promised,
+                self._headroom(run, home.held().get(run.team, NOTHING), self.grants.get(run.team, NOTHING)),
+            )
+            while left > 0 and len(self._evictions) < EVICTIONS_AT_ONCE:
+                claimable = partial(may_claim, run, using=using, guarantees=self.guarantees)
+                found = choose_victims(run, rooms, tasks, claimable, work.yards)
+                if found is None:
+                    break
+                self._stop_for(run, found[0], found[1], tasks, using, now)
+                left -= 1
+
+    def _stop_for(
+        self,
+        run: wire.Run,
+        room: Room,
+        going: list[OnMachine],
+        tasks: dict[str, list[OnMachine]],
+        using: dict[str, tuple[float, float]],
+        now: timedelta,
+    ) -> None:
+        for victim in going:
+            log.debug("%s/%d gives way to %s on %s", victim.run.ref, victim.task, run.ref, room.host)
+            grace = victim.run.mark_cost_s if victim.run.mark_every_s > 0 else 0.0
+            self._evictions[victim.key] = Eviction(run.ref, now, grace)
+            self._evict(*victim.key, timedelta(seconds=grace))
+            tasks[room.host].remove(victim)
+            room.take(victim.run, -1)
+            _add(using, victim.run.team, -victim.run.cores, -victim.run.cards)
+        room.take(run)
+        _add(using, run.team, run.cores, run.cards)
+        self.counters["preemptions"] += len(going)
+
+    def _stoppable(self, name: str) -> list[OnMachine]:
+        found = []
+        for ref, task, number, phase, *_ in self.floor[name].tasks:
+            job = self.jobs.get(ref)
+            going = (ref, task, number) in self._evictions
+            if job is not None and phase in (wire.FETCHING, wire.RUNNING) and not going:
+                found.append(OnMachine(job.run, task, number))
+        return found
+
+    def _team_use(self) -> dict[str, tuple[float, float]]:
+        """What all homes' attempts hold, by team."""
+        assert self.home is not None and self.view is not None
+        using = self.home.using()
+        for member in self.view.members:
+            said = self.peers.said(member)
+            for team, (cores, cards) in said.using.items() if said is not None else ():
+                _add(using, team, cores, cards)
+        return using
+
     def _headroom(self, run: wire.Run, using: tuple[float, float], most: tuple[float, float]) -> int:
         """How many more tasks the team may run within `most`."""
         if not limited(self.teams.get(run.team)):
@@ -730,8 +836,7 @@
         for work in self.home.works.values():
             if work.waiting > 0 and work.hold <= self.context.now:
                 run = work.job.run
-                cores, cards = asking.get(run.team, NOTHING)
-                asking[run.team] = (cores + run.cores * work.waiting, cards + run.cards * work.waiting)
+                _add(asking, run.team, run.cores * work.waiting, run.cards * work.waiting)
         return asking
 
     def _sync_out(self, now: timedelta) -> None:
@@ -771,6 +876,7 @@
             grants_ack=self.grants_ack,
             took=took,
             pool=self.pool,
+            evict=[(*key, one.grace) for key, one in self._evictions.items()] if self.membership.leading else [],
             withdrawn=[ref for _, ref in self._withdrawn],
             strangers={beat.host: (beat.rig, beat.yard, beat.spot) for beat in part.strangers.values()},
         )
@@ -801,8 +907,7 @@
             using[member], asking[member] = dict(said.using), said.asking
             for ref, amounts in said.limbo.items():
                 for team, (cores, cards) in amounts.items() if ref not in took else ():
-                    before = using[member].get(team, NOTHING)
-                    using[member][team] = (before[0] + cores, before[1] + cards)
+                    _add(using[member], team, cores, cards)
         grants = self.allowances.divide(home.seq, using, asking, self.member)
         self.allowances.acknowledged(self.member, home.seq)
         self.grants = grants[self.member]
@@ -876,22 +981,16 @@
         """Waiting tasks of all homes that their team's limit lets run now, the most urgent first."""
         assert self.home is not None and self.view is not None
         now, wall = self.context.now, self.context.wall()
-        using: dict[str, tuple[float, float]] = {}
+        using = self._team_use()
         rows = [
             (self._waiting_of(work, now), work.yards)
             for work in self.home.works.values()
             if work.waiting > 0 and work.hold <= now
         ]
-        sides = [self.home.using()]
         for member in self.view.members:
             said = self.peers.said(member)
             if said is not None:
                 rows += [(row, Counter()) for row in said.waiting]
-                sides.append(said.using)
-        for side in sides:
-            for team, (cores, cards) in side.items():
-                before = using.get(team, NOTHING)
-                using[team] = (before[0] + cores, before[1] + cards)
         found = [(self.jobs[row[0]], row, placed) for row, placed in rows if row[0] in self.jobs]
         found.sort(key=lambda one: urgency(one[0], wall))
         demands = []
@@ -901,8 +1000,7 @@
             most = limits_of(owner) if owner is not None else NOTHING
             tasks = min(row[1], self._headroom(run, using.get(run.team, NOTHING), most))
             if tasks > 0:
-                before = using.get(run.team, NOTHING)
-                using[run.team] = (before[0] + run.cores * tasks, before[1] + run.cards * tasks)
+                _add(using, run.team, run.cores * tasks, run.cards * tasks)
                 demands.append(Demand(run, tasks, timedelta(seconds=row[2]), Counter(placed)))
         return demands
 
--- a/src/ramptide/settings.py
+++ b/src/ramptide/settings.py
@@ -67,6 +67,7 @@
     "sick_jobs": Bound(1, 100, "different jobs failing in a row that make a machine sick"),
     "hand_over": Bound(0, 600, "seconds that a task waits in a part before its job goes to the leader"),
     "list_every": Bound(1, 600, "seconds between two readings of the cloud's list"),
+    "preempt_after": Bound(0, 600, "seconds without room after which a job claims room that others must give up"),
     "hold": Bound(0, 3, "seconds that a report may wait for a launch before it is answered"),
 }
 
@@ -88,6 +89,7 @@
     sick_jobs: int = 2
     hand_over: timedelta = timedelta(seconds=1)
     list_every: timedelta = timedelta(seconds=4)
+    preempt_after: timedelta = timedelta(seconds=0.4)
     hold: timedelta = timedelta(seconds=1.5)
 
     def to_value(self) -> dict[str, float | int]:
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,149 @@
+"""Placement and preemption against exhaustive search and against the rules as they are written."""
+
+import itertools
+import json
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from world import job
+
+from ramptide import wire
+from ramptide.placement import Room, can_ever_run, choose, fill, may_use, zone_room
+from ramptide.preemption import OnMachine, choose_victims, may_claim
+
+
+def run_of(**fields: object) -> wire.Run:
+    return wire.decode_run(json.dumps(job("j-1", **fields)).encode())
+
+
+RUNS = st.builds(
+    run_of,
+    pieces=st.integers(1, 4),
+    cores=st.sampled_from([1.0, 2.0, 3.0]),
+    ramGb=st.sampled_from([0.0, 4.0, 8.0]),
+    cards=st.sampled_from([0.0, 1.0]),
+    oneZone=st.booleans(),
+    spread=st.booleans(),
+    loaners=st.booleans(),
+    yard=st.sampled_from([None, "a"]),
+    rigs=st.sampled_from([None, ["m"], ["n"]]),
+)
+ROOMS = st.lists(
+    st.builds(
+        lambda flavor, yard, spot, cores, cards, ram: Room("", flavor, yard, spot, cores, cards, ram),
+        st.sampled_from(["m", "n"]), st.sampled_from(["a", "b"]), st.booleans(),
+        st.sampled_from([0.0, 2.0, 4.0]), st.sampled_from([0.0, 1.0, 2.0]), st.sampled_from([4.0, 16.0]),
+    ),
+    max_size=3,
+)  # fmt: skip
+
+
+def named(rooms: list[Room]) -> list[Room]:
+    for number, room in enumerate(rooms):
+        room.host = f"vm-{number}"
+    return rooms
+
+
+def allowed(run: wire.Run, rooms: list[Room], where: tuple[int, ...]) -> bool:
+    """The rules, task by task: may these rooms hold one task each in this order?"""
+    zones = [rooms[index].yard for index in where]
+    for index in set(where):
+        room, count = rooms[index], where.count(index)
+        if run.rigs is not None and room.flavor not in run.rigs or run.yard not in (None, room.yard):
+            return False
+        if room.spot and not run.spot:
+            return False
+        if run.cores * count > room.cores or run.cards * count > room.cards or run.ram_gb * count > room.ram_gb:
+            return False
+    if run.one_zone and len(set(zones)) > 1:
+        return False
+    return not run.spread or all(zones.count(zone) <= (run.pieces + 1) // 2 for zone in zones)
+
+
+def greedy(run: wire.Run, rooms: list[Room]) -> list[int]:
+    where: list[int] = []
+    placed: dict[str, int] = {}
+    while len(where) < run.pieces and (room := choose(run, rooms, placed)) is not None:
+        room.take(run)
+        placed[room.yard] = placed.get(room.yard, 0) + 1
+        where.append(rooms.index(room))
+    return where
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(RUNS, ROOMS)
+def test_placement_keeps_the_rules_and_starts_as_many_as_can_be(run: wire.Run, rooms: list[Room]) -> None:
+    before = named(rooms)
+    copies = [Room(r.host, r.flavor, r.yard, r.spot, r.cores, r.cards, r.ram_gb) for r in before]
+    where = greedy(run, copies)
+    assert allowed(run, before, tuple(where))
+    best = max(
+        count
+        for count in range(run.pieces + 1)
+        if any(allowed(run, before, each) for each in itertools.product(range(len(before)), repeat=count))
+    )
+    assert len(where) == best
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(RUNS, ROOMS)
+def test_counting_finds_no_more_room_than_there_is(run: wire.Run, rooms: list[Room]) -> None:
+    before = named(rooms)
+    copies = [Room(r.host, r.flavor, r.yard, r.spot, r.cores, r.cards, r.ram_gb) for r in before]
+    found = fill(run, run.pieces, copies, {})
+    assert found <= run.pieces
+    for room, copy in zip(before, copies, strict=True):
+        used = round((room.cores - copy.cores) / run.cores)
+        assert used == 0 or may_use(run, room.flavor, room.yard, room.spot)
+        assert used <= zone_room(run, room.yard, {}) and copy.cores >= -1e-6
+
+
+def flavor(**fields: object) -> wire.Flavor:
+    return wire.Flavor(**({"name": "m", "cores": 8.0, "ram_gb": 32.0, "yards": ["a", "b"]} | fields))  # type: ignore[arg-type]
+
+
+def test_what_can_never_run() -> None:
+    assert can_ever_run(run_of(), [flavor()])
+    assert not can_ever_run(run_of(cores=9.0), [flavor()])
+    assert not can_ever_run(run_of(cards=1.0), [flavor()])
+    assert not can_ever_run(run_of(rigs=["x"]), [flavor()])
+    assert not can_ever_run(run_of(yard="c"), [flavor()])
+    assert not can_ever_run(run_of(spread=True, yard="a"), [flavor()])
+    assert not can_ever_run(run_of(spread=True, oneZone=True), [flavor()])
+    assert can_ever_run(run_of(spread=True, oneZone=True, pieces=1), [flavor()])
+
+
+def test_services_take_a_waiting_worker_with_the_image_and_arrays_keep_off() -> None:
+    def room(host: str, **fields: object) -> Room:
+        return Room(host, "m", "a", False, 8.0, 0.0, 32.0, **fields)  # type: ignore[arg-type]
+
+    cold = room("vm-0", quick=True, kept=True)
+    warm = room("vm-1", quick=True, kept=True, images=frozenset(["img"]))
+    mixed = room("vm-2", images=frozenset(["img"]))
+    assert choose(run_of(shape="service"), [cold, warm, mixed], {}) is warm
+    assert choose(run_of(), [cold, warm, mixed], {}) is mixed
+    assert choose(run_of(), [cold, warm], {}) is None
+
+
+def test_who_gives_way() -> None:
+    guarantees = {"a": (8.0, 0.0), "b": (4.0, 0.0)}
+    low, normal, high = (run_of(owner="b", rank=rank) for rank in ("low", "normal", "high"))
+    mine = run_of(owner="a", cores=2.0)
+    using = {"a": (0.0, 0.0), "b": (4.0, 0.0)}
+    assert may_claim(mine, low, using, guarantees), "lower rank"
+    assert not may_claim(mine, normal, using, guarantees), "b is within its own guarantee"
+    assert may_claim(mine, high, {"b": (6.0, 0.0)}, guarantees), "b has borrowed, whatever the rank"
+    assert not may_claim(mine, high, {"a": (7.0, 0.0), "b": (6.0, 0.0)}, guarantees), "beyond a's guarantee"
+    assert not may_claim(run_of(owner="b"), normal, {"b": (9.0, 0.0)}, guarantees), "the same team"
+
+
+def test_victims_are_few_and_cheap() -> None:
+    rooms = [Room(f"vm-{n}", "m", "a", False, 0.0, 0.0, 32.0) for n in range(2)]
+    long, short, saves = run_of(guessS=60.0), run_of(guessS=5.0), run_of(guessS=60.0, markEveryS=10.0, markCostS=1.0)
+    tasks = {"vm-0": [OnMachine(long, 0, 1), OnMachine(short, 1, 2)], "vm-1": [OnMachine(long, 2, 3)]}
+    found = choose_victims(run_of(rank="high"), rooms, tasks, lambda run: True, {})
+    assert found is not None and [task.attempt for task in found[1]] == [2]
+    tasks["vm-1"].append(OnMachine(saves, 3, 4))
+    found = choose_victims(run_of(rank="high"), rooms, tasks, lambda run: True, {})
+    assert found is not None and [task.attempt for task in found[1]] == [4]
+    assert choose_victims(run_of(rank="high"), rooms, tasks, lambda run: False, {}) is None
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -189,3 +189,15 @@
     world.nodes[leader(world)].kill()
     world.run(30)
     assert {worker.host for worker, _ in world.rules.on_machines()} == before
+
+
+def test_a_service_of_higher_rank_takes_the_room_of_an_array() -> None:
+    world = started(4, capacity=2)
+    world.submit("j-1", pieces=8, cores=2.0, guessS=300.0)
+    assert world.accepted("j-1", "c0")
+    assert world.run_until(lambda: len(world.rules.on_machines()) == 8, 30)
+    world.submit("j-2", shape="service", rank="production", pieces=1, cores=4.0)
+    assert world.accepted("j-2", "c1")
+    assert world.run_until(lambda: any(t.ref == "j-2" for _, t in world.rules.on_machines()), 10)
+    assert sum(t.ref == "j-1" for _, t in world.rules.on_machines()) == 6
+    assert world.rules.broken == []
