--- a/src/ramptide/placement.py
+++ b/src/ramptide/placement.py
@@ -107,16 +107,17 @@
 
 
 def _preference(run: wire.Run, room: Room) -> tuple[bool | float | str, ...]:
-    """Lowest is best. A busy machine goes before an idle one, so that machines empty; then the tightest fit.
+    """Lowest is best. A busy machine goes before an idle one, so that machines empty.
 
     People wait for services: those take a machine that holds the image and whose worker waits for our
-    answer (see `agents`), so that nothing is left to wait for. Arrays keep off these machines, and take
-    spot ones where they may.
+    answer (see `agents`), so that nothing is left to wait for; then the tightest fit. Arrays keep off
+    these machines, take spot ones where they may, and fill machines in one fixed order, so that the last
+    ones empty.
     """
     missing = run.image not in room.images
     if run.shape == wire.SERVICE:
         return (missing, not room.quick, room.spot, room.idle, room.cores - run.cores, room.host)
-    return (run.spot and not room.spot, room.quick and not room.idle, missing, room.idle, room.cores, room.host)
+    return (run.spot and not room.spot, room.quick and not room.idle, missing, room.idle, room.host)
 
 
 def fill(run: wire.Run, tasks: int, rooms: Iterable[Room], placed: Mapping[str, int]) -> int:
