--- a/tests/world.py
+++ b/tests/world.py
@@ -529,7 +529,10 @@
 
     def _launch(self, task: Task) -> None:
         self.tasks[(task.ref, task.number, task.attempt)] = task
-        spec = self.world.jobs[task.ref]
+        spec = self.world.jobs.get(task.ref)
+        if spec is None:
+            self._end(task, "unknown")
+            return
         held = sum(self.world.jobs[t.ref]["cores"] for t in self.tasks.values() if t.status != "ended")
         if any(t is not task and (t.ref, t.number) == (task.ref, task.number) for t in self.tasks.values()):
             self._end(task, "busy")
