--- a/src/ramptide/settings.py
+++ b/src/ramptide/settings.py
@@ -76,8 +76,8 @@
 class Tuning:
     """The operators' own settings, kept in the state service and changed through the administration API."""
 
-    step: timedelta = timedelta(seconds=1)
-    window: timedelta = timedelta(seconds=1)
+    step: timedelta = timedelta(seconds=0.5)
+    window: timedelta = timedelta(seconds=0.5)
     waiting_high: int = 1
     long_wait: timedelta = timedelta(seconds=10)
     long_waiting_high: int = 1
@@ -89,7 +89,7 @@
     sick_jobs: int = 2
     hand_over: timedelta = timedelta(seconds=1)
     list_every: timedelta = timedelta(seconds=4)
-    preempt_after: timedelta = timedelta(seconds=0.4)
+    preempt_after: timedelta = timedelta(seconds=2)
     hold: timedelta = timedelta(seconds=1.5)
 
     def to_value(self) -> dict[str, float | int]:
