Machines that boot do not hold up a new view

A machine is now recorded as opened once its worker has reported, nobody starts on one that is not, and so a new view need not wait for it.

--- a/src/ramptide/agents.py
+++ b/src/ramptide/agents.py
@@ -144,8 +144,8 @@
     ) -> None:
         agent = self.agents.get(host)
         if agent is None:
-            # A machine recorded in this view has never had a task: nobody starts on an unrecorded one.
-            agent = Agent(host, record, flavor, settled=record.born == self.number, since=now)
+            # Nobody starts on a machine that is not recorded as opened, so this one may be empty for sure.
+            agent = Agent(host, record, flavor, settled=record.untouched(self.number), since=now)
             agent.images = dict.fromkeys(images)
             self.agents[host] = agent
             self.strangers.pop(host, None)
--- a/src/ramptide/app.py
+++ b/src/ramptide/app.py
@@ -529,7 +529,14 @@
             self.home.stop(attempt, grace)
 
     def _takes_tasks(self, agent: Agent) -> bool:
-        return agent.settled and agent.record.leaving is None and agent.taken_at is None and self.may_start()
+        record = agent.record
+        return (
+            agent.settled
+            and record.opened
+            and record.leaving is None
+            and agent.taken_at is None
+            and self.may_start()
+        )
 
     def _read_floor(self, owner: str, status: dict[str, Any], ack: int) -> None:
         assert self.home is not None
@@ -602,7 +609,7 @@
         of a job that is over is left there (its team is unknown, so it could not be counted)."""
         assert self.view is not None
         for name, record in self.machines.items():
-            if record.born == self.view.number:
+            if record.untouched(self.view.number):
                 continue
             host = self.floor.get(name)
             if host is None or not host.known or not host.settled:
@@ -653,7 +660,7 @@
         silent = self.report_every * 3
         for name in names:
             record, host = self.machines.get(name), self.floor.get(name)
-            if record is None or host is None or not host.settled or not host.up:
+            if record is None or host is None or not record.opened or not host.settled or not host.up:
                 continue
             flavor = self.flavors.get(record.flavor)
             if flavor is None or record.leaving is not None or host.leaving or host.notice is not None:
--- a/src/ramptide/fleet.py
+++ b/src/ramptide/fleet.py
@@ -106,7 +106,7 @@
         rooms += [
             Room(m.host, m.flavor.name, m.record.yard, m.record.spot, m.flavor.cores, m.flavor.cards, m.flavor.ram_gb)
             for m in machines
-            if not m.up and m.flavor is not None and m.record.leaving is None
+            if not (m.up and m.record.opened) and m.flavor is not None and m.record.leaving is None
         ]
         self.waiting = self.long_waiting = 0
         uncovered = []
--- a/src/ramptide/leader.py
+++ b/src/ramptide/leader.py
@@ -107,14 +107,10 @@
         for host in self._gone:
             if host in c.machines and txn.size < room:
                 txn.drops.append(MACHINE + host)
-        moves: dict[str, str | None] = dict(plan.leave) | dict.fromkeys(plan.stay)
-        for host, reason in moves.items():
-            present = c.machines.get(host)
-            if present is not None and txn.size < room and host not in self._gone:
-                changed = msgspec.structs.replace(present, leaving=reason)
+        for host, changed in self._changes(plan).items():
+            if host not in self._gone and txn.size < room:
                 txn.when[MACHINE + host] = c.mirror.stamp(MACHINE + host)
                 txn.puts.append((MACHINE + host, to_value(changed), None))
-                log.info("%s (%s, %s): %s", host, present.flavor, present.yard, reason or "stays after all")
         hire_name: str | None = None
         if plan.rent is not None and txn.size < room:
             self._hired += 1
@@ -127,6 +123,21 @@
         if txn.size:
             self._commit(txn, hire_name, plan.rent)
 
+    def _changes(self, plan: Plan) -> dict[str, MachineRecord]:
+        """Records that change: machines that came up, that leave, or that stay after all."""
+        c = self._c
+        changes: dict[str, MachineRecord] = {}
+        for host, record in c.machines.items():
+            if not record.opened and host in c.floor and c.floor[host].up:
+                changes[host] = msgspec.structs.replace(record, opened=True)
+        moves: dict[str, str | None] = dict(plan.leave) | dict.fromkeys(plan.stay)
+        for host, reason in moves.items():
+            present = changes.get(host) or c.machines.get(host)
+            if present is not None:
+                changes[host] = msgspec.structs.replace(present, leaving=reason)
+                log.info("%s (%s, %s): %s", host, present.flavor, present.yard, reason or "stays after all")
+        return changes
+
     def _commit(self, txn: Txn, name: str | None, kind: Kind | None) -> None:
         self._writing = True
 
--- a/src/ramptide/records.py
+++ b/src/ramptide/records.py
@@ -89,7 +89,11 @@
 
 
 class MachineRecord(msgspec.Struct):
-    """A rented machine. `born` is the view that recorded it: none older can have started anything on it."""
+    """A rented machine. `born` is the view that recorded it: none older can have started anything on it.
+
+    `opened` once its worker has reported: before this is recorded nobody starts anything there, so a
+    change of view need not wait for machines that boot.
+    """
 
     flavor: str
     yard: str
@@ -97,6 +101,11 @@
     born: int
     at: float
     leaving: str | None = None
+    opened: bool = False
+
+    def untouched(self, view: int) -> bool:
+        """No earlier view can have started anything on it."""
+        return self.born == view or not self.opened
 
 
 class HireRecord(msgspec.Struct):
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -2,7 +2,7 @@
 
 import pytest
 from chaos import play
-from world import S, World, leader, started
+from world import S, Worker, World, leader, started
 
 from ramptide.app import Controller
 
@@ -215,3 +215,17 @@
         world.nodes[name].start()
     world.run(32)
     assert {(t.ref, t.number, t.attempt) for _, t in world.rules.on_machines()} == before
+
+
+def test_machines_that_boot_do_not_hold_up_a_new_view(monkeypatch: pytest.MonkeyPatch) -> None:
+    world = busy_world(guessS=200.0)
+    monkeypatch.setattr(Worker, "boot", lambda self: None)
+    world.submit("j-2", pieces=12, cores=4.0)
+    assert world.accepted("j-2", "c0")
+    assert world.run_until(lambda: sum(not worker.baton for worker in world.workers.values()) >= 3, 20)
+    old = leader(world)
+    world.nodes[old].kill()
+    rest = [world.nodes[name] for name in world.names if name != old]
+    assert world.run_until(lambda: all(n.controller is not None and n.controller.view.leader != old for n in rest), 10)
+    assert world.run_until(lambda: all(n.controller is not None and n.controller.latched for n in rest), 5)
+    assert world.rules.broken == []
