--- a/src/ramptide/http.py
+++ b/src/ramptide/http.py
@@ -326,17 +326,19 @@
         self.server = server
         self.parser = Parser()
         self.busy = False
+        self.ending = False
         self.since = self.loop.now
         self._listen()
 
     def on_ready(self, mask: int) -> None:
         if mask & selectors.EVENT_WRITE:
             self.flush()
+            self._half_close()
         if mask & selectors.EVENT_READ and self.open:
             data = self.read()
             if data == b"":
                 self.close()
-            elif data:
+            elif data and not self.ending:
                 if self.parser.idle:
                     self.since = self.loop.now
                 self.parser.feed(data)
@@ -348,9 +350,7 @@
         try:
             request = self.parser.next()
         except HttpError as error:
-            body = json.dumps({"error": str(error)}).encode()
-            self.write(encode_response(error.status, body, "application/json", {}, False))
-            self.close()
+            self._end_with(encode_response(error.status, _error(str(error)), "application/json", {}, False))
             return
         if request is None:
             if self.parser.expects_continue:
@@ -358,7 +358,24 @@
                 self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
             return
         self.busy = True
-        self.server.handler(Exchange(self, request))
+        exchange = Exchange(self, request)
+        try:
+            self.server.handler(exchange)
+        except Exception:
+            # The client gets an answer whatever went wrong here.
+            log.exception("%s %s failed", request.method, request.target)
+            exchange.respond(500, _error("internal error"))
+
+    def _end_with(self, data: bytes) -> None:
+        """The last answer: what the peer still sends is read and dropped, or the close would destroy the answer."""
+        self.ending = True
+        self.write(data)
+        self._half_close()
+
+    def _half_close(self) -> None:
+        if self.ending and self.open and not self.out:
+            with contextlib.suppress(OSError):
+                self.sock.shutdown(socket.SHUT_WR)
 
     def answer(self, request: Message, status: int, body: bytes, kind: str, headers: dict[str, str]) -> None:
         if not self.open:
@@ -367,10 +384,11 @@
         self.since = self.loop.now
         if request.method == "HEAD":
             body = b""
-        self.write(encode_response(status, body, kind, headers, request.keep))
+        data = encode_response(status, body, kind, headers, request.keep)
         if not request.keep:
-            self.close()
+            self._end_with(data)
         else:
+            self.write(data)
             self.advance()
 
     def close(self) -> None:
@@ -421,12 +439,16 @@
 
     def _sweep(self) -> None:
         for connection in list(self.connections):
-            limit = self.idle if connection.parser.idle else self.idle / 6
+            limit = self.idle if connection.parser.idle and not connection.ending else self.idle / 6
             if not connection.busy and self.loop.now - connection.since > limit:
                 connection.close()
         self.loop.after(self.idle / 6, self._sweep)
 
 
+def _error(text: str) -> bytes:
+    return json.dumps({"error": text}).encode()
+
+
 def _no_delay(sock: socket.socket) -> None:
     with contextlib.suppress(OSError):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- /dev/null
+++ b/tests/test_models.py
@@ -0,0 +1,199 @@
+"""Small parts against slow plain models: done sets, team grants, token buckets, owners, the trigger."""
+
+import json
+from collections import Counter
+from datetime import timedelta
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from world import S, job
+
+from ramptide import wire
+from ramptide.allowances import Allowances
+from ramptide.fleet import Demand, Fleet, Machine, Trigger
+from ramptide.jobs import Job, Work
+from ramptide.limits import Bucket
+from ramptide.membership import owner_of
+from ramptide.placement import Room
+from ramptide.records import WINDOW, JobRecord, MachineRecord, Progress, to_value
+from ramptide.settings import Tuning
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(st.lists(st.integers(0, 300), max_size=200))
+def test_done_sets_are_sets(tasks: list[int]) -> None:
+    plain: set[int] = set()
+    compact = Progress()
+    for task in tasks:
+        assert compact.add(task) is (task not in plain)
+        plain.add(task)
+        assert compact.count == len(plain)
+    again = Progress.decode(compact.encode())
+    assert [task in again for task in range(310)] == [task in plain for task in range(310)]
+
+
+def test_a_job_of_100000_tasks_fits_a_small_value_and_is_walked_once() -> None:
+    run = wire.decode_run(json.dumps(job("j-1", pieces=100_000)).encode())
+    work = Work(Job("j-1", JobRecord(run, "c0", 1, 0.0, Progress().encode()), 1), Progress(), timedelta(0))
+    largest = 0
+    for _ in range(100_000):
+        task = work.next_task()
+        assert task is not None
+        # Every tenth ends far later than its neighbours, so the set has holes.
+        work.done.add(task)
+        if task % 1000 == 0:
+            record = JobRecord(run, "c0", 1, 0.0, work.done.encode())
+            largest = max(largest, len(msgspec.json.encode(to_value(record))))
+    assert work.next_task() is None and work.complete
+    holes = Progress(0, sum(1 << task for task in range(1, WINDOW, 2)))
+    assert len(msgspec.json.encode(to_value(JobRecord(run, "c0", 1, 0.0, holes.encode())))) < 2.5 * 1024 > largest
+
+
+def test_tasks_past_the_window_wait_for_the_oldest() -> None:
+    run = wire.decode_run(json.dumps(job("j-1", pieces=100_000)).encode())
+    done = Progress(0, sum(1 << task for task in range(1, WINDOW)))
+    work = Work(Job("j-1", JobRecord(run, "c0", 1, 0.0, done.encode()), 1), done, timedelta(0))
+    assert work.next_task() == 0
+    work.placed[0] = None  # type: ignore[assignment]
+    assert work.next_task() is None
+    del work.placed[0]
+    done.add(0)
+    assert work.next_task() == WINDOW
+
+
+MEMBERS = ["a", "b", "c"]
+LIMIT = 20.0
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(st.lists(st.tuples(st.sampled_from(MEMBERS), st.sampled_from(["ask", "start", "end", "deliver", "ack"]))))
+def test_no_two_members_overstep_a_limit_together(events: list[tuple[str, str]]) -> None:
+    """Grants and acknowledgements are delivered when the history says so; members start all they may."""
+    leader = Allowances({"t": wire.Team("t", cpus_max=LIMIT)}, MEMBERS)
+    held = dict.fromkeys(MEMBERS, 0.0)
+    using = dict.fromkeys(MEMBERS, 0.0)
+    waiting = dict.fromkeys(MEMBERS, 0.0)
+    told = {member: (using[member], 0) for member in MEMBERS}
+    latest: dict[str, tuple[int, float]] = {member: (0, 0.0) for member in MEMBERS}
+    seen = dict.fromkeys(MEMBERS, 0)
+    for seq, (member, event) in enumerate(events, 1):
+        if event == "ask":
+            waiting[member] += 7.0
+        elif event == "start" and held[member] - using[member] >= 1.0:
+            using[member] += 1.0
+            waiting[member] = max(0.0, waiting[member] - 1.0)
+        elif event == "end":
+            using[member] = max(0.0, using[member] - 1.0)
+        elif event == "deliver":
+            seen[member], held[member] = latest[member]
+        elif event == "ack":
+            told[member] = (using[member], seen[member])
+            leader.acknowledged(member, seen[member])
+        grants = leader.divide(
+            seq,
+            {m: {"t": (told[m][0], 0.0)} for m in MEMBERS},
+            {m: {"t": (waiting[m], 0.0)} for m in MEMBERS},
+            "a",
+        )
+        latest = {m: (seq, grants[m]["t"][0]) for m in MEMBERS}
+        assert sum(using.values()) <= LIMIT
+        assert sum(max(held[m], using[m]) for m in MEMBERS) <= LIMIT + 1e-6
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(st.lists(st.tuples(st.integers(0, 700), st.integers(1, 5)), max_size=60))
+def test_a_bucket_lets_through_no_more_than_its_rate_and_burst(events: list[tuple[int, int]]) -> None:
+    bucket, now, taken = Bucket(10.0, 5.0), timedelta(0), []
+    for pause, amount in events:
+        now += timedelta(milliseconds=pause)
+        if not bucket.wait(now, amount):
+            bucket.take(amount)
+            taken.append((now, amount))
+    for start, (begin, _) in enumerate(taken):
+        total = 0
+        for at, amount in taken[start:]:
+            total += amount
+            assert total <= 5.0 + 10.0 * ((at - begin) / S) + 1e-6
+
+
+def test_few_machines_move_when_a_member_leaves() -> None:
+    hosts = [f"vm-{number:06d}" for number in range(300)]
+    three = {host: owner_of(host, {"a": "", "b": "", "c": ""}) for host in hosts}
+    two = {host: owner_of(host, {"a": "", "b": ""}) for host in hosts}
+    assert min(Counter(three.values()).values()) > 60
+    assert all(two[host] == three[host] for host in hosts if three[host] != "c")
+
+
+FLAVOR = wire.Flavor(name="m", cores=8.0, ram_gb=32.0, yards=["a"], price=1.0, spot_price=0.4, boot_s=30.0)
+
+
+def machine(host: str, up: bool = True, tasks: int = 0, age: float = 100.0, **fields: object) -> Machine:
+    record = MachineRecord("m", "a", False, 1, 0.0, opened=up)
+    room = Room(host, "m", "a", False, 8.0, 0.0, 32.0) if up else None
+    known = {"silent": timedelta(0), "notice": None, "failing": 0, "drained": False} | fields
+    return Machine(host, record, FLAVOR, up, age * S, tasks=tasks, room=room, **known)  # type: ignore[arg-type]
+
+
+def steps(fleet: Fleet, demands: list[Demand], machines: list[Machine], count: int, begin: float = 0.0) -> int:
+    return sum(
+        fleet.step(timedelta(seconds=begin + n * 0.5), demands, machines, [FLAVOR], True).rent is not None
+        for n in range(count)
+    )
+
+
+def demand(tasks: int, waited: float = 1.0) -> Demand:
+    run = wire.decode_run(json.dumps(job("j-1", pieces=tasks, cores=4.0)).encode())
+    return Demand(run, tasks, waited * S, Counter())
+
+
+def test_counts_window_and_one_machine_a_step() -> None:
+    fleet = Fleet(Tuning(pool_size=0, window=2 * S), S, 10 * S)
+    assert steps(fleet, [demand(4)], [], 4) == 0 and fleet.trigger is Trigger.RISING
+    assert steps(fleet, [demand(4)], [], 3, 2.0) == 3 and fleet.waiting == 4
+    assert steps(fleet, [demand(4)], [machine("vm-0", False, age=1.0), machine("vm-1", False, age=1.0)], 4, 4.0) == 0
+    assert (fleet.waiting, fleet.trigger) == (0, Trigger.QUIET), "room that boots is taken off"
+
+
+def test_long_waiting_tasks_fire_by_themselves() -> None:
+    fleet = Fleet(Tuning(pool_size=0, window=0 * S, waiting_high=100, long_waiting_high=2), S, 10 * S)
+    assert steps(fleet, [demand(4, 5.0)], [], 3) == 0
+    assert steps(fleet, [demand(4, 11.0)], [], 3, 2.0) == 3 and fleet.long_waiting == 4
+
+
+def test_refused_kinds_back_off() -> None:
+    fleet = Fleet(Tuning(pool_size=0, window=0 * S), S, 10 * S)
+    fleet.step(timedelta(0), [demand(2)], [], [FLAVOR], True)
+    fleet.refused(("m", "a", False), timedelta(0))
+    assert steps(fleet, [demand(2)], [], 6, 0.5) == 0
+    assert steps(fleet, [demand(2)], [], 4, 5.0) == 4
+
+
+def test_pool_is_refilled_and_idle_machines_leave_after_the_cooldown() -> None:
+    fleet = Fleet(Tuning(pool_size=1, cooldown=10 * S), S, 10 * S)
+    assert steps(fleet, [], [], 1) == 1, "the pool is short"
+    idle = [machine("vm-0"), machine("vm-1")]
+    left: dict[str, str] = {}
+    for second in range(30):
+        plan = fleet.step(second * S, [], idle, [FLAVOR], True)
+        assert plan.rent is None
+        if second < 10:
+            assert plan.leave == {}
+        left |= plan.leave
+    assert list(left.values()) == ["idle"] and fleet.pool == [host for host in ("vm-0", "vm-1") if host not in left]
+
+
+def test_machines_that_are_no_good_leave() -> None:
+    fleet = Fleet(Tuning(), S, 10 * S)
+    machines = [
+        machine("vm-sick", failing=2),
+        machine("vm-silent", silent=14 * S),
+        machine("vm-new", up=False, age=60.0, silent=14 * S),
+        machine("vm-never", up=False, age=120.0, silent=14 * S),
+        machine("vm-taken", notice=0.2 * S),
+        machine("vm-good", tasks=1),
+    ]
+    plan = fleet.step(timedelta(0), [], machines, [FLAVOR], False)
+    assert {host: why for host, why in plan.leave.items()} == {
+        "vm-sick": "sick", "vm-silent": "silent", "vm-never": "never up", "vm-taken": "taken"
+    }  # fmt: skip
