--- a/src/ramptide/app.py
+++ b/src/ramptide/app.py
@@ -712,7 +712,7 @@
 
         for work in works:
             before = len(work.placed)
-            place(home, [work], rooms, allowance, now)
+            place(home, [work], rooms, allowance, now, self.tuning.long_wait)
             count = len(work.placed) - before
             if count:
                 run = work.job.run
--- a/src/ramptide/jobs.py
+++ b/src/ramptide/jobs.py
@@ -349,8 +349,12 @@
     rooms: list[Room],
     allowance: Callable[[wire.Run], int],
     now: timedelta,
+    long_wait: timedelta,
 ) -> int:
-    """Starts what finds room, in the order given; returns how many."""
+    """Starts what finds room, in the order given; returns how many.
+
+    What has waited for long takes any room: with no capacity to be had, an idle pool helps nobody.
+    """
     started = 0
     for work in works:
         if work.frozen or work.hold > now:
@@ -359,8 +363,9 @@
             work.shunned = {host: until for host, until in work.shunned.items() if until > now}
         usable = [room for room in rooms if room.host not in work.shunned] if work.shunned else rooms
         left = allowance(work.job.run)
+        any_room = work.waiting_since is not None and now - work.waiting_since > long_wait
         while left > 0 and (task := work.next_task()) is not None:
-            room = choose(work.job.run, usable, work.yards)
+            room = choose(work.job.run, usable, work.yards, any_room)
             if room is None:
                 break
             home.start(work, task, room.host, room.yard, now)
--- a/src/ramptide/placement.py
+++ b/src/ramptide/placement.py
@@ -82,14 +82,14 @@
     return run.pieces
 
 
-def choose(run: wire.Run, rooms: Iterable[Room], placed: Mapping[str, int]) -> Room | None:
-    """The machine for the next task of a job, or None when none has room."""
+def choose(run: wire.Run, rooms: Iterable[Room], placed: Mapping[str, int], any_room: bool = False) -> Room | None:
+    """The machine for the next task of a job, or None when none has room. `any_room`: even what is kept."""
     usable = [
         room
         for room in rooms
         if may_use(run, room.flavor, room.yard, room.spot)
         and run.ref not in room.shunned
-        and (not room.kept or run.shape == wire.SERVICE)
+        and (any_room or not room.kept or run.shape == wire.SERVICE)
         and room.fits(run)
         and zone_room(run, room.yard, placed)
     ]
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -123,6 +123,7 @@
     assert choose(run_of(shape="service"), [cold, warm, mixed], {}) is warm
     assert choose(run_of(), [cold, warm, mixed], {}) is mixed
     assert choose(run_of(), [cold, warm], {}) is None
+    assert choose(run_of(), [cold, warm], {}, any_room=True) is warm, "after a long wait"
 
 
 def test_who_gives_way() -> None:
