--- a/src/ramptide/agents.py
+++ b/src/ramptide/agents.py
@@ -65,7 +65,6 @@
     home: str | None = None
     grace: timedelta = ZERO
     cause: str | None = None
-    kept: bool = False
     told: timedelta | None = None
 
 
@@ -210,7 +209,6 @@
             self._judge(agent, entry.ref, piece.cause)
         entry.phase = phase
         entry.cause = piece.cause
-        entry.kept = bool(piece.kept)
         if entry.run is not None and phase is not Phase.ENDED:
             agent.use(entry.run.image)
 
@@ -386,6 +384,6 @@
             "quick": agent.current and agent.serves_only(),
             "images": list(agent.images),
             "tasks": [
-                [e.ref, e.task, e.attempt, e.phase.value, e.cause, e.kept] for e in agent.entries.values()
+                [e.ref, e.task, e.attempt, e.phase.value, e.cause] for e in agent.entries.values()
             ],
         }
--- a/src/ramptide/app.py
+++ b/src/ramptide/app.py
@@ -115,6 +115,8 @@
         self.answer_for = timedelta(seconds=cluster.workers.cancel_s) - self.lease * DRIFT - ANSWER_MARGIN
         self.teams = {team.name: team for team in cluster.teams}
         self.guarantees = {team.name: (team.cpus, team.gpus) for team in cluster.teams if team.cpus or team.gpus}
+        # Classes whose starts people wait for, as the platform's objectives say.
+        self.prompt = {one.job_class for one in cluster.objectives if one.kind == "wait" and one.job_class is not None}
         self.tuning = Tuning()
         self.jobs: dict[str, Job] = {}
         self.machines: dict[str, MachineRecord] = {}
@@ -703,7 +705,7 @@
         works = [w for w in home.works.values() if w.waiting > 0 and not w.frozen and w.hold <= now and self._ready(w)]
         if not works:
             return
-        works.sort(key=lambda work: urgency(work.job, wall))
+        works.sort(key=lambda work: urgency(work.job, wall, self.prompt))
         rooms = [room for room in self._rooms(self.machines) if leads or self._owner(room.host) == self.member]
         using = home.held()
 
@@ -750,7 +752,7 @@
         rooms = list(self._rooms(self.machines))
         tasks = {room.host: self._stoppable(room.host) for room in rooms}
         using = self._team_use()
-        for work in sorted(claims, key=lambda one: urgency(one.job, wall)):
+        for work in sorted(claims, key=lambda one: urgency(one.job, wall, self.prompt)):
             run = work.job.run
             promised = sum(one.claimant == run.ref for one in self._evictions.values())
             left = min(
@@ -788,7 +790,7 @@
 
     def _stoppable(self, name: str) -> list[OnMachine]:
         found = []
-        for ref, task, number, phase, *_ in self.floor[name].tasks:
+        for ref, task, number, phase, _cause in self.floor[name].tasks:
             job = self.jobs.get(ref)
             going = (ref, task, number) in self._evictions
             if job is not None and phase in (wire.FETCHING, wire.RUNNING) and not going:
@@ -1015,7 +1017,7 @@
             if said is not None:
                 rows += [(row, Counter()) for row in said.waiting]
         found = [(self.jobs[row[0]], row, placed) for row, placed in rows if row[0] in self.jobs]
-        found.sort(key=lambda one: urgency(one[0], wall))
+        found.sort(key=lambda one: urgency(one[0], wall, self.prompt))
         demands = []
         for job, row, placed in found:
             run = job.run
--- a/src/ramptide/context.py
+++ b/src/ramptide/context.py
@@ -1,6 +1,5 @@
 """What the cores may ask of the world. The real one stands on the loop; tests bring a virtual one."""
 
-import random
 from collections.abc import Callable
 from datetime import datetime, timedelta
 from typing import Protocol
@@ -24,9 +23,7 @@
 
 
 class Context(Protocol):
-    """Time, chance and calls. `now` is steady time and stands still during an event."""
-
-    rng: random.Random
+    """Time and calls. `now` is steady time and stands still during an event."""
 
     @property
     def now(self) -> timedelta: ...
--- a/src/ramptide/desk.py
+++ b/src/ramptide/desk.py
@@ -124,18 +124,13 @@
     def _known(self, ref: str, answer: Answer, problem: str | None) -> None:
         """The present state of a job that is there already; `problem` if it is not."""
 
-        def found(state: tuple[JobRecord | EndRecord | None, int] | None) -> None:
-            if state is None:
-                self._busy(answer, "the state service does not answer")
-            elif state[0] is None:
-                if problem is None:
-                    self._busy(answer, "the job is being accepted")
-                else:
-                    answer(422, error(problem), {})
+        def missing() -> None:
+            if problem is None:
+                self._busy(answer, "the job is being accepted")
             else:
-                answer(200, self._show(ref, state[0]), {})
+                answer(422, error(problem), {})
 
-        self._read(ref, found)
+        self._tell(ref, answer, missing)
 
     # Polls.
 
@@ -144,11 +139,16 @@
             answer(404, error("no such job"), {})
             return
 
+        self._tell(ref, answer, lambda: answer(404, error("no such job"), {}))
+
+    def _tell(self, ref: str, answer: Answer, missing: Callable[[], None]) -> None:
+        """Answers with the job's present state, or calls `missing` when it was never accepted."""
+
         def found(state: tuple[JobRecord | EndRecord | None, int] | None) -> None:
             if state is None:
                 self._busy(answer, "the state service does not answer")
             elif state[0] is None:
-                answer(404, error("no such job"), {})
+                missing()
             else:
                 answer(200, self._show(ref, state[0]), {})
 
--- a/src/ramptide/fleet.py
+++ b/src/ramptide/fleet.py
@@ -5,23 +5,25 @@
 
 import logging
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 from datetime import timedelta
 from enum import Enum, auto
 
 from ramptide import wire
-from ramptide.placement import Room, fill, holds, may_use
+from ramptide.placement import Room, fill
 from ramptide.records import MachineRecord
 from ramptide.settings import Tuning
 
 log = logging.getLogger(__name__)
 
 ZERO = timedelta(0)
-HOUR = timedelta(hours=1)
 REFUSED_FIRST = timedelta(seconds=5)
 REFUSED_MOST = timedelta(seconds=40)
 
+# A card is worth about a dozen cores, and a GB a fiftieth of one; only the order of magnitude matters.
+CARD, RAM = 12.0, 0.02
+
 Kind = tuple[str, str, bool]
 
 
@@ -155,7 +157,7 @@
             if self.trigger is Trigger.HIGH:
                 plan.rent = self._cheapest(now, uncovered, flavors)
             elif self.trigger is Trigger.QUIET and self._pool_short(machines):
-                plan.rent = self._pool_kind(now, demands, flavors)
+                plan.rent = self._pool_kind(now, flavors)
             self._cool_down(now, machines, plan)
         return plan
 
@@ -238,10 +240,7 @@
             boot = timedelta(seconds=flavor.boot_s)
             work = 0.0
             for demand in uncovered:
-                taken = fill(demand.run, demand.tasks, [room], demand.placed)
-                size = max(demand.run.cores / flavor.cores, demand.run.ram_gb / max(flavor.ram_gb, 1e-9))
-                size = max(size, demand.run.cards / flavor.cards if flavor.cards else 0.0)
-                work += taken * self._weight(demand.run, flavor, size)
+                work += fill(demand.run, demand.tasks, [room], demand.placed) * self._weight(demand.run)
             if work <= 0:
                 continue
             cost = price * ((boot + self.tuning.horizon) / self.tuning.horizon) / work
@@ -250,21 +249,14 @@
         return best[1] if best is not None else None
 
     @staticmethod
-    def _weight(run: wire.Run, flavor: wire.Flavor, size: float) -> float:
-        """Work counts by what it would cost at the type's own size, so that types compare fairly."""
-        return max(run.cores, run.ram_gb * flavor.cores / max(flavor.ram_gb, 1e-9) * 0.25, size * 1e-3)
+    def _weight(run: wire.Run) -> float:
+        """What a task counts for when the prices of kinds are compared: its share of work, however it is bound."""
+        return run.cores + run.cards * CARD + run.ram_gb * RAM
 
-    def _pool_kind(self, now: timedelta, demands: list[Demand], flavors: Iterable[wire.Flavor]) -> Kind | None:
+    def _pool_kind(self, now: timedelta, flavors: Iterable[wire.Flavor]) -> Kind | None:
         """For the pool: the cheapest ordinary machine."""
         kinds = [
             (price, (flavor.name, yard, spot)) for flavor, yard, spot, price in self._kinds(now, flavors) if not spot
         ]
         return min(kinds)[1] if kinds else None
 
-
-def usable_kinds(run: wire.Run, flavors: Mapping[str, wire.Flavor]) -> bool:
-    """Some type would take the job's tasks."""
-    return any(
-        holds(run, flavor) and any(may_use(run, flavor.name, yard, False) for yard in flavor.yards)
-        for flavor in flavors.values()
-    )
--- a/src/ramptide/jobs.py
+++ b/src/ramptide/jobs.py
@@ -3,13 +3,14 @@
 import heapq
 import logging
 from collections import Counter
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Container, Iterable, Iterator
 from dataclasses import dataclass, field
 from datetime import UTC, datetime, timedelta
 from typing import Any
 
 from ramptide import wire
 from ramptide.agents import OVER, Phase, Wish
+from ramptide.allowances import Amounts
 from ramptide.placement import Room, choose
 from ramptide.records import WINDOW, JobRecord, Progress
 
@@ -22,7 +23,6 @@
 REFUSED_PAUSE = timedelta(milliseconds=300)
 
 EntryId = tuple[str, int, int]
-Amounts = tuple[float, float]
 
 
 class Job:
@@ -224,7 +224,7 @@
         """Takes the owner's list for a machine; `ack` is the last of our messages that the owner had processed."""
         shown: set[EntryId] = set()
         entries = self.attempts.get(host, {})
-        for ref, task, number, phase, cause, _kept in tasks:
+        for ref, task, number, phase, cause in tasks:
             key = (ref, task, number)
             shown.add(key)
             attempt = entries.get(key) or self._found(host, yard, key, Phase(phase), now)
@@ -327,14 +327,16 @@
     return total
 
 
-def urgency(job: Job, now: datetime) -> tuple[Any, ...]:
-    """Sort key: rank, then who can still make a deadline by that deadline, then the order of submission."""
+def urgency(job: Job, now: datetime, prompt: Container[str]) -> tuple[Any, ...]:
+    """Sort key: rank, then the classes that are to start promptly, then who can still make a deadline by that
+    deadline, then the order of submission."""
     run = job.run
     due = job.due
     late = due is not None and due < now
     far = datetime.max.replace(tzinfo=UTC)
     return (
         -wire.RANKS.index(run.rank),
+        run.job_class not in prompt,
         run.shape != wire.SERVICE,
         late,
         due if due is not None and not late else far,
--- a/src/ramptide/leader.py
+++ b/src/ramptide/leader.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from ramptide import wire
+from ramptide.cloud import RETURN_MOST
 from ramptide.context import Handle
 from ramptide.fleet import Fleet, Kind, Plan
 from ramptide.limits import Rank
@@ -210,6 +211,7 @@
 
     def _return(self, plan: Plan) -> None:
         hosts = [host for host in plan.give_back if host not in self._returning and host not in self._gone]
+        hosts = hosts[:RETURN_MOST]
         if not hosts:
             return
         self._returning.update(hosts)
@@ -222,7 +224,7 @@
                 self._returned |= {host: self._c.context.now for host in hosts}
                 self._c.counters["returns"] += len(hosts)
 
-        self._c.cloud.give_back(hosts[:100], done)
+        self._c.cloud.give_back(hosts, done)
 
     # The list.
 
--- a/src/ramptide/preemption.py
+++ b/src/ramptide/preemption.py
@@ -4,10 +4,9 @@
 from dataclasses import dataclass, replace
 
 from ramptide import wire
+from ramptide.allowances import Amounts
 from ramptide.placement import Room, may_use, zone_room
 
-Amounts = tuple[float, float]
-
 
 @dataclass(frozen=True, slots=True)
 class OnMachine:
--- a/src/ramptide/records.py
+++ b/src/ramptide/records.py
@@ -17,7 +17,6 @@
 
 WINDOW = 8192
 
-TaskId = tuple[str, int]
 
 
 class Progress:
--- a/src/ramptide/service.py
+++ b/src/ramptide/service.py
@@ -1,7 +1,6 @@
 """The shell around a controller: listeners, routes and the real context."""
 
 import logging
-import random
 import resource
 import secrets
 from collections.abc import Callable
@@ -28,7 +27,6 @@
     def __init__(self, loop: Loop, client: Client) -> None:
         self._loop = loop
         self._client = client
-        self.rng = random.Random(secrets.randbits(64))
 
     @property
     def now(self) -> timedelta:
@@ -51,7 +49,7 @@
         self.loop = Loop()
         # Sockets are shared out so that neither users nor peers can use up what the others need.
         limit = settings.cluster.quota.fd_limit
-        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
         if hard != resource.RLIM_INFINITY:
             limit = min(limit, hard)
         room = max(limit - OWN_FILES, 8)
--- a/src/ramptide/wire.py
+++ b/src/ramptide/wire.py
@@ -23,7 +23,7 @@
 
 # States of a task as workers report them, and causes of an end.
 FETCHING, RUNNING, FLUSHING, ENDED = "fetching", "running", "flushing", "ended"
-DONE, HALTED, ERROR = "done", "halted", "error"
+DONE, ERROR = "done", "error"
 REFUSED = ("no_room", "busy", "unknown")
 
 # States of a job as users see them.
@@ -301,10 +301,6 @@
 class Objective(Struct, rename={"job_class": "class"}):
     kind: str
     job_class: str | None = None
-    within_s: float | None = None
-    after_s: float | None = None
-    share: float | None = None
-    times: float | None = None
 
 
 class Workers(Struct):
@@ -326,21 +322,17 @@
 
 
 class Quota(Struct):
-    ram_mb: Positive
     fd_limit: Annotated[int, Meta(ge=32)]
-    cpu: Positive = 1.0
 
 
 class Cluster(Struct):
     nodes: Annotated[int, Meta(ge=1)]
-    zones: list[Name]
     teams: list[Team]
     objectives: list[Objective]
     workers: Workers
     state: StateLimits
     cloud: CloudLimits
     quota: Quota
-    clock_off_ms: Amount = 0.0
 
 
 class Settings(Struct, rename={"listen": "client_listen", "peer_listen": "peer_bind"}):
