--- a/src/ramptide/leader.py
+++ b/src/ramptide/leader.py
@@ -191,8 +191,10 @@
         for host, (flavor, yard, spot) in c.strangers().items():
             if self._unexpected(host, new, asked):
                 found[host] = MachineRecord(flavor, yard, spot, c.view.number, wall)
-        for host, rented in self._listed.items():
-            # A list may show what is gone, so only what stays listed longer than its lag is taken.
+        fresh = self._list_at is not None and c.context.now - self._list_at < c.tuning.list_every * 2
+        for host, rented in self._listed.items() if fresh else ():
+            # A list may show what is gone, so only what stays listed longer than its lag is taken, and
+            # nothing from a list that could not be renewed.
             old = c.context.now - self._listed_since.get(host, c.context.now) > self._lag * 2 + timedelta(seconds=2)
             if old and rented.status != "failed" and self._unexpected(host, new, asked):
                 found[host] = MachineRecord(rented.rig, rented.yard, rented.spot, c.view.number, wall - rented.age_s)
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -229,3 +229,16 @@
     assert world.run_until(lambda: all(n.controller is not None and n.controller.view.leader != old for n in rest), 10)
     assert world.run_until(lambda: all(n.controller is not None and n.controller.latched for n in rest), 5)
     assert world.rules.broken == []
+
+
+def test_an_old_list_brings_back_no_returned_machine() -> None:
+    """The cloud goes down right after a machine was returned; its last list still shows the machine."""
+    world = busy_world(guessS=5.0)
+    assert world.run_until(lambda: world.done("j-1"), 40)
+    controller = world.nodes[leader(world)].controller
+    assert controller is not None
+    assert world.run_until(lambda: controller.counters["returns"] > 0, 60)
+    known = set(controller.machines)
+    world.cloud.down = True
+    world.run(60)
+    assert set(controller.machines) <= known
