--- a/src/ramptide/leader.py
+++ b/src/ramptide/leader.py
@@ -189,23 +189,23 @@
         found = {}
         asked = {host for hosts in self._answered.values() for host in hosts}
         for host, (flavor, yard, spot) in c.strangers().items():
-            if self._unexpected(host, new, asked):
+            if self._unexpected(host, new, asked, c.context.now):
                 found[host] = MachineRecord(flavor, yard, spot, c.view.number, wall)
-        fresh = self._list_at is not None and c.context.now - self._list_at < c.tuning.list_every * 2
-        for host, rented in self._listed.items() if fresh else ():
-            # A list may show what is gone, so only what stays listed longer than its lag is taken, and
-            # nothing from a list that could not be renewed.
-            old = c.context.now - self._listed_since.get(host, c.context.now) > self._lag * 2 + timedelta(seconds=2)
-            if old and rented.status != "failed" and self._unexpected(host, new, asked):
+        read = self._list_at if self._list_at is not None else timedelta(0)
+        for host, rented in self._listed.items() if self._list_at is not None else ():
+            # A list may show what is gone, so only what stays listed longer than its lag is taken: as of the
+            # moment the list was read, since it may be the last one before an outage.
+            old = read - self._listed_since.get(host, read) > self._lag * 2 + timedelta(seconds=2)
+            if old and rented.status != "failed" and self._unexpected(host, new, asked, read):
                 found[host] = MachineRecord(rented.rig, rented.yard, rented.spot, c.view.number, wall - rented.age_s)
         for host in found:
             log.info("%s was not expected: taken over", host)
         return found
 
-    def _unexpected(self, host: str, new: dict[str, MachineRecord], asked: set[str]) -> bool:
+    def _unexpected(self, host: str, new: dict[str, MachineRecord], asked: set[str], seen: timedelta) -> bool:
         c = self._c
         returned = self._returned.get(host)
-        if returned is not None and c.context.now - returned < self._lag * 3 + timedelta(seconds=5):
+        if returned is not None and seen - returned < self._lag * 3 + timedelta(seconds=5):
             return False
         return host not in c.machines and host not in new and host not in asked and not self._asking
 
--- a/tests/test_models.py
+++ b/tests/test_models.py
@@ -3,8 +3,10 @@
 import json
 from collections import Counter
 from datetime import timedelta
+from typing import Any
 
 import msgspec
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from world import S, job
@@ -101,6 +103,34 @@
         assert sum(max(held[m], using[m]) for m in MEMBERS) <= LIMIT + 1e-6
 
 
+def raised_while_the_old_grant_may_be_in_use(leader: Allowances) -> tuple[float, float]:
+    """a may still act on the whole limit while b asks; what b gets before and after a says that it knows better."""
+    free, hungry = {m: {"t": (0.0, 0.0)} for m in MEMBERS}, {"t": (50.0, 0.0)}
+    assert leader.divide(1, free, {"a": hungry}, "a")["a"]["t"][0] == LIMIT
+    leader.acknowledged("a", 1)
+    before = leader.divide(2, free, {"b": hungry}, "a")["b"]["t"][0]
+    leader.acknowledged("a", 2)
+    return before, leader.divide(3, free, {"b": hungry}, "a")["b"]["t"][0]
+
+
+def test_a_grant_is_raised_only_once_the_other_is_lowered_for_sure() -> None:
+    leader = Allowances({"t": wire.Team("t", cpus_max=LIMIT)}, MEMBERS)
+    assert raised_while_the_old_grant_may_be_in_use(leader) == (0.0, LIMIT)
+
+
+def test_without_that_guard_the_limit_is_given_twice(monkeypatch: pytest.MonkeyPatch) -> None:
+    leader = Allowances({"t": wire.Team("t", cpus_max=LIMIT)}, MEMBERS)
+    divide = leader.divide
+
+    def forgetful(seq: int, *rest: Any) -> Any:
+        for member in MEMBERS:
+            leader._sent[member][-1] = (0, {})
+        return divide(seq, *rest)
+
+    monkeypatch.setattr(leader, "divide", forgetful)
+    assert raised_while_the_old_grant_may_be_in_use(leader)[0] == LIMIT
+
+
 @settings(derandomize=True, max_examples=200, deadline=None)
 @given(st.lists(st.tuples(st.integers(0, 700), st.integers(1, 5)), max_size=60))
 def test_a_bucket_lets_through_no_more_than_its_rate_and_burst(events: list[tuple[int, int]]) -> None:
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -238,7 +238,10 @@
     controller = world.nodes[leader(world)].controller
     assert controller is not None
     assert world.run_until(lambda: controller.counters["returns"] > 0, 60)
-    known = set(controller.machines)
+    gone = next(host for host, worker in world.workers.items() if not worker.alive)
+    row = {"ref": gone, "rig": "m", "yard": "a", "loaners": False, "status": "running"}
+    world.cloud.listed[gone] = row  # the list lags
+    world.run(5)
     world.cloud.down = True
     world.run(60)
-    assert set(controller.machines) <= known
+    assert gone not in controller.machines
