--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -1,5 +1,7 @@
 """Whole controllers on a virtual clock, judged by the plain model of the rules."""
 
+from typing import Any
+
 import pytest
 from chaos import play
 from world import S, Worker, World, leader, started
@@ -149,8 +151,31 @@
     assert sum(worker.alive for worker in world.workers.values()) == controller.tuning.pool_size
 
 
+def polled_after_a_late_copy(with_conditions: bool) -> list[str]:
+    """A job is accepted and cancelled; then a late copy of the transaction that accepted it arrives."""
+    world = started(8)
+    sent: list[dict[str, Any]] = []
+    carry_out = world.state._txn
+    world.state._txn = lambda txn, answer: (sent.append(txn), carry_out(txn, answer))[1]  # type: ignore[method-assign]
+    world.submit("j-2", pieces=3, guessS=60.0)
+    assert world.accepted("j-2", "c1")
+    assert world.run_until(lambda: world.cancel("j-2", "c2"), 10)
+    copy = next(txn for txn in sent if any(change.get("put") == "live/job/j-2" for change in txn["then"]))
+    carry_out(copy if with_conditions else copy | {"when": []}, lambda status, body: None)
+    world.run(3)
+    answers = [world.poll("j-2", name) for name in world.names]
+    return [answer[1]["status"] for answer in answers if answer is not None]
+
+
 def test_late_copies_of_transactions_do_nothing() -> None:
-    """Every request is carried out again some seconds later."""
+    assert polled_after_a_late_copy(with_conditions=True) == ["withdrawn"] * 3
+
+
+def test_without_conditions_a_late_copy_brings_a_cancelled_job_back() -> None:
+    assert "withdrawn" not in polled_after_a_late_copy(with_conditions=False)
+
+
+def test_requests_repeated_at_any_later_time_break_nothing() -> None:
     world = started(8)
     world.repeat = 1.0
     world.submit("j-1", pieces=3, guessS=4.0)
