--- a/src/ramptide/admin.py
+++ b/src/ramptide/admin.py
@@ -85,6 +85,7 @@
         c = self._c
         view = c.view
         fleet = c.leader.fleet
+        hosts = c.floor.hosts
         status: dict[str, Any] = {
             "version": __version__,
             "member": c.member,
@@ -105,8 +106,8 @@
                     "yard": record.yard,
                     "spot": record.spot,
                     "leaving": record.leaving,
-                    "up": name in c.floor and c.floor[name].up,
-                    "tasks": len(c.floor[name].tasks) if name in c.floor else 0,
+                    "up": name in hosts and hosts[name].up,
+                    "tasks": len(hosts[name].tasks) if name in hosts else 0,
                 }
                 for name, record in c.machines.items()
             },
@@ -143,7 +144,7 @@
             "state_service_lacking": (int(c.mirror.lacking), "1 while the state service does not answer"),
             "jobs": (len(c.jobs), "jobs that are not over"),
             "machines": (len(c.machines), "machines in the fleet record"),
-            "machines_up": (sum(host.up for host in c.floor.values()), "machines that report"),
+            "machines_up": (sum(host.up for host in c.floor.hosts.values()), "machines that report"),
             "waiting_tasks": (c.leader.fleet.waiting, "waiting tasks without room, as the leader counts"),
             "long_waiting_tasks": (c.leader.fleet.long_waiting, "long-waiting tasks, as the leader counts"),
             "pool_machines": (len(c.leader.fleet.pool), "idle machines kept ready"),
--- a/src/ramptide/agents.py
+++ b/src/ramptide/agents.py
@@ -6,12 +6,14 @@
 """
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import Enum
 from typing import Any
 
+import msgspec
+
 from ramptide import wire
 from ramptide.records import MachineRecord
 
@@ -21,8 +23,30 @@
 DRIFT = 1.002
 MARGIN = timedelta(seconds=1)
 IMAGES_KEPT = 40
+SILENT_REPORTS = 3
+#: A worker waits 4 s for an answer and another before it reports again.
+UNANSWERED = timedelta(seconds=4.5)
+NOTICE_MOVED = timedelta(seconds=1)
 
 EntryId = tuple[str, int, int]
+TaskRow = tuple[str, int, int, str, str | None]
+WishRow = tuple[str, int, int, str, float]
+
+
+class HostRow(msgspec.Struct, array_like=True, frozen=True):
+    """A machine as its owner tells the others; the times are as of the message."""
+
+    settled: bool
+    up: bool
+    leaving: bool
+    silent: float
+    notice: float | None
+    failing: int
+    deaf: float | None
+    quick: bool
+    images: list[str]
+    tasks: list[TaskRow]
+
 
 
 class Phase(Enum):
@@ -79,6 +103,9 @@
     since: timedelta
     entries: dict[EntryId, Entry] = field(default_factory=dict)
     order: tuple[int, int] = (0, 0)
+    deaf_since: timedelta | None = None
+    quiet: bool = False
+    pieces: bytes | None = None
     heard: timedelta | None = None
     answered: timedelta | None = None
     taken_at: timedelta | None = None
@@ -87,6 +114,11 @@
     current: bool = False
     failing: set[str] = field(default_factory=set)
 
+    @property
+    def deaf(self) -> bool:
+        """Its reports come, but our answers do not reach it."""
+        return self.deaf_since is not None
+
     def free(self) -> tuple[float, float, float]:
         """Cores, cards and memory that no attempt holds; nothing while an unknown job's task is here."""
         if self.flavor is None:
@@ -110,6 +142,7 @@
         )
 
     def use(self, image: str) -> None:
+        """The most recently used images, as the worker caches them."""
         self.images.pop(image, None)
         self.images[image] = None
         while len(self.images) > IMAGES_KEPT:
@@ -123,18 +156,33 @@
         self,
         number: int,
         lease: timedelta,
+        report_every: timedelta,
         job: Callable[[str], wire.Run | None],
     ) -> None:
         self.number = number
         self._lease = lease
+        self._silent = report_every * SILENT_REPORTS
         self._job = job
         self.agents: dict[str, Agent] = {}
         self.acks: dict[str, int] = {}
         self.strangers: dict[str, wire.Beat] = {}
-        self.version = 0
+        #: Machines of which the others do not know the present state yet.
+        self.dirty: set[str] = set()
+        #: Machines for whose workers there may be something new to say.
+        self.news: set[str] = set()
+        self._hosts: dict[str, set[str]] = {}
+
+    def changed(self, host: str) -> None:
+        """One function for each change that others have to see: the machine's row is sent anew."""
+        self.dirty.add(host)
 
-    def changed(self) -> None:
-        self.version += 1
+    def take_dirty(self) -> set[str]:
+        dirty, self.dirty = self.dirty, set()
+        return dirty
+
+    def _add(self, agent: Agent, entry: Entry) -> None:
+        agent.entries[(entry.ref, entry.task, entry.attempt)] = entry
+        self._hosts.setdefault(entry.ref, set()).add(agent.host)
 
     # The fleet record.
 
@@ -150,12 +198,12 @@
             self.strangers.pop(host, None)
         agent.record = record
         agent.flavor = flavor or agent.flavor
-        self.changed()
+        self.changed(host)
 
     def disown(self, host: str) -> None:
         """The machine left the fleet record: its return was answered, so it and all on it are gone."""
         if self.agents.pop(host, None) is not None:
-            self.changed()
+            self.changed(host)
 
     # Reports.
 
@@ -163,38 +211,85 @@
         """Takes a report; False when it is an old one, which changes nothing."""
         agent = self.agents.get(beat.host)
         if agent is None:
-            self.strangers[beat.host] = beat
+            # A late copy of what a machine said before it was returned bears an older token.
+            if beat.baton >= self.number:
+                self.strangers[beat.host] = beat
             return True
         order = (beat.tenure, beat.tally)
         if order <= agent.order:
             return False
-        pieces = {}
-        for piece in beat.pieces:
-            ref, task = wire.split_piece(piece.piece)
-            pieces[(ref, task, piece.attempt)] = piece
-        agent.order = order
-        agent.heard = now
-        agent.up = True
-        agent.taken_at = None if beat.notice_s is None else now + timedelta(seconds=max(beat.notice_s, 0.0))
-        agent.current = beat.baton >= self.number
-        if agent.current:
+        current = beat.baton >= self.number
+        pieces = None
+        raw = bytes(beat.pieces)
+        if raw != agent.pieces or any(entry.phase is Phase.SENT for entry in agent.entries.values()):
+            pieces = {}
+            for piece in wire.decode_pieces(raw):
+                ref, task = wire.split_piece(piece.piece)
+                pieces[(ref, task, piece.attempt)] = piece
+        self._hear(agent, beat, now)
+        if current and not (agent.settled and agent.current):
             # Settled: this report was made after the worker saw our token, so no reply of an older
             # view can be carried out any more. Reports with an older token may be stale.
-            agent.settled = True
+            agent.settled = agent.current = True
+            self.changed(agent.host)
+        elif not current and agent.current:
+            agent.current = False
+            self.changed(agent.host)
+        if current and pieces is not None:
+            agent.pieces = raw
             self._compare(agent, pieces)
-        self.changed()
         return True
 
+    def _hear(self, agent: Agent, beat: wire.Beat, now: timedelta) -> None:
+        if agent.heard is not None:
+            # A worker whose report was not answered goes to another controller with the next: a gap in the tally,
+            # or a new tenure, says that our last answer did not reach it.
+            follows = beat.tenure == agent.order[0] and beat.tally == agent.order[1] + 1
+            if not follows:
+                self._become_deaf(agent, now)
+            elif agent.deaf_since is not None and now - agent.heard < UNANSWERED:
+                self._become_hearing(agent)
+        agent.order = (beat.tenure, beat.tally)
+        agent.heard = now
+        if not agent.up or agent.quiet:
+            agent.up, agent.quiet = True, False
+            self.changed(agent.host)
+        taken_at = None if beat.notice_s is None else now + timedelta(seconds=max(beat.notice_s, 0.0))
+        moved = (
+            taken_at is not agent.taken_at
+            and (taken_at is None or agent.taken_at is None or abs(taken_at - agent.taken_at) > NOTICE_MOVED)
+        )
+        if moved:
+            agent.taken_at = taken_at
+            self.changed(agent.host)
+
+    def _become_deaf(self, agent: Agent, now: timedelta) -> None:
+        """Nothing is started there any more. What was not sent yet is refused, so that its home looks elsewhere;
+        what may be there runs again only when a report or the machine's return proves it gone."""
+        if agent.deaf_since is None:
+            log.debug("%s does not hear our answers", agent.host)
+            agent.deaf_since = now
+        for entry in agent.entries.values():
+            if entry.phase is Phase.QUEUED:
+                entry.phase = Phase.REFUSED
+        self.changed(agent.host)
+
+    def _become_hearing(self, agent: Agent) -> None:
+        log.debug("%s hears our answers again", agent.host)
+        agent.deaf_since = None
+        self.changed(agent.host)
+
     def _compare(self, agent: Agent, pieces: dict[EntryId, wire.Piece]) -> None:
         for key, piece in pieces.items():
             entry = agent.entries.get(key)
             if entry is None:
                 entry = Entry(key[0], key[1], key[2], Phase.QUEUED, self._job(key[0]))
-                agent.entries[key] = entry
+                self._add(agent, entry)
             self._show(agent, entry, piece)
         for key, entry in list(agent.entries.items()):
             if key not in pieces:
                 self._miss(agent, key, entry)
+        self.changed(agent.host)
 
     def _show(self, agent: Agent, entry: Entry, piece: wire.Piece) -> None:
         try:
@@ -223,7 +318,7 @@
     def _miss(self, agent: Agent, key: EntryId, entry: Entry) -> None:
         """A newer report lacks the attempt, so it is not on the machine."""
         if entry.wish is Wish.RUN and entry.phase is Phase.SENT:
-            entry.phase = Phase.QUEUED
+            entry.phase = Phase.REFUSED if agent.deaf else Phase.QUEUED
         elif entry.phase is Phase.SENT or entry.phase in SHOWN:
             entry.phase = Phase.GONE
         if entry.phase in OVER and entry.wish in (None, Wish.REAP):
@@ -232,9 +327,9 @@
     # Wishes of the jobs' homes.
 
     def wish(
-        self, home: str, seq: int, wishes: dict[str, list[list[Any]]], allowed: Callable[[Agent], bool]
+        self, home: str, seq: int, wishes: Mapping[str, list[WishRow] | None], allowed: Callable[[Agent], bool]
     ) -> None:
-        """Takes a home's full list; an older copy of it changes nothing."""
+        """Takes what changed of a home's wishes, each machine's list in full; an older copy changes nothing."""
         if seq <= self.acks.get(home, 0):
             return
         self.acks[home] = seq
@@ -242,9 +337,10 @@
             agent = self.agents.get(host)
             if agent is None:
                 continue
-            for ref, task, attempt, wish, grace in rows:
+            for ref, task, attempt, wish, grace in rows or ():
                 self._take_wish(agent, home, (ref, task, attempt), Wish(wish), timedelta(seconds=grace), allowed)
-        self.changed()
+            self.news.add(host)
+            self.changed(host)
 
     def _take_wish(
         self,
@@ -261,9 +357,9 @@
                 return
             run = self._job(key[0])
             entry = Entry(key[0], key[1], key[2], Phase.QUEUED, run, home=home)
-            if run is None or not allowed(agent) or not self._has_room(agent, run):
+            if run is None or agent.deaf or not allowed(agent) or not self._has_room(agent, run):
                 entry.phase = Phase.REFUSED
-            agent.entries[key] = entry
+            self._add(agent, entry)
         if entry.wish is Wish.REAP or entry.wish is Wish.STOP and wish is Wish.RUN:
             return
         entry.wish, entry.home, entry.grace = wish, home, grace
@@ -279,11 +375,13 @@
 
     def job_over(self, ref: str) -> None:
         """The job is no longer live: its tasks stop, whoever asked for them."""
-        for agent in self.agents.values():
-            for key, entry in list(agent.entries.items()):
-                if entry.ref == ref:
+        for host in self._hosts.pop(ref, ()):
+            agent = self.agents.get(host)
+            for key, entry in list(agent.entries.items()) if agent is not None else ():
+                if agent is not None and entry.ref == ref:
                     self._end(agent, key, entry)
-        self.changed()
+            self.news.add(host)
+            self.changed(host)
 
     def _end(self, agent: Agent, key: EntryId, entry: Entry) -> None:
         entry.wish, entry.grace = Wish.REAP, ZERO
@@ -311,8 +409,8 @@
                 orders.append(wire.reap(ref, task, attempt))
             elif entry.wish in (Wish.STOP, Wish.REAP) and entry.phase not in OVER:
                 self._kill(orders, entry, now)
-        if launches or orders:
-            self.changed()
+        if launches:
+            self.changed(host)
         return orders + launches
 
     @staticmethod
@@ -347,43 +445,57 @@
         `others_end` (None: not known yet).
         """
         for agent in self.agents.values():
+            if not agent.quiet and now - (agent.heard or agent.since) > self._silent:
+                agent.quiet = True
+                self.changed(agent.host)
             last = agent.answered or agent.since
             if not agent.settled:
                 if others_end is None:
                     continue
                 last = max(last, others_end)
-            if now - last <= self._lease * DRIFT + MARGIN:
-                continue
-            if not agent.settled:
-                agent.settled = True
-                log.info("%s has been silent past its lease: settled as empty", agent.host)
-                self.changed()
-            for key, entry in list(agent.entries.items()):
-                if entry.phase in SHOWN or entry.phase in (Phase.SENT, Phase.QUEUED):
-                    entry.phase = Phase.GONE
-                    self.changed()
-                    if entry.wish in (None, Wish.REAP):
-                        del agent.entries[key]
+            if now - last > self._lease * DRIFT + MARGIN:
+                self._give_up(agent)
+
+    def _give_up(self, agent: Agent) -> None:
+        if not agent.settled:
+            agent.settled = True
+            log.info("%s has been silent past its lease: settled as empty", agent.host)
+            self.changed(agent.host)
+        if agent.heard is not None and agent.pieces is not None:
+            # Its next true report is of a later tenure; a late one or a copy of this tenure revives nothing.
+            agent.order = (agent.order[0] + 1, 0)
+            agent.pieces = None
+        for key, entry in list(agent.entries.items()):
+            if entry.phase in SHOWN or entry.phase in (Phase.SENT, Phase.QUEUED):
+                entry.phase = Phase.GONE
+                self.changed(agent.host)
+                if entry.wish in (None, Wish.REAP):
+                    del agent.entries[key]
 
     # What we tell the others.
 
-    def status(self, now: timedelta) -> dict[str, Any]:
-        """Each machine's state in the form that is sent to the other controllers."""
-        return {host: self._status(agent, now) for host, agent in self.agents.items()}
+    def row(self, host: str, now: timedelta) -> HostRow | None:
+        """The machine's state in the form that is sent to the other controllers; None when we have none."""
+        agent = self.agents.get(host)
+        if agent is None:
+            return None
+        return HostRow(
+            settled=agent.settled,
+            up=agent.up,
+            leaving=agent.record.leaving is not None,
+            silent=(now - (agent.heard or agent.since)).total_seconds() if agent.quiet else 0.0,
+            notice=None if agent.taken_at is None else (agent.taken_at - now).total_seconds(),
+            failing=len(agent.failing),
+            deaf=None if agent.deaf_since is None else (now - agent.deaf_since).total_seconds(),
+            quick=agent.current and agent.serves_only(),
+            images=list(agent.images),
+            tasks=[(e.ref, e.task, e.attempt, e.phase.value, e.cause) for e in agent.entries.values()],
+        )
 
-    @staticmethod
-    def _status(agent: Agent, now: timedelta) -> dict[str, Any]:
-        silent = now - (agent.heard or agent.since)
-        return {
-            "settled": agent.settled,
-            "up": agent.up,
-            "leaving": agent.record.leaving is not None,
-            "silent": silent.total_seconds(),
-            "notice": None if agent.taken_at is None else (agent.taken_at - now).total_seconds(),
-            "failing": len(agent.failing),
-            "quick": agent.current and agent.serves_only(),
-            "images": list(agent.images),
-            "tasks": [
-                [e.ref, e.task, e.attempt, e.phase.value, e.cause] for e in agent.entries.values()
-            ],
-        }
+    def homes(self, host: str) -> set[str]:
+        """The controllers that wait for news of what they started there."""
+        agent = self.agents.get(host)
+        return {e.home for e in agent.entries.values() if e.home is not None} if agent is not None else set()
+
+    def strangers_known(self) -> dict[str, tuple[str, str, bool]]:
+        return {beat.host: (beat.rig, beat.yard, beat.spot) for beat in self.strangers.values()}
--- a/src/ramptide/allowances.py
+++ b/src/ramptide/allowances.py
@@ -11,6 +11,11 @@
 NO_LIMIT = float("inf")
 
 
+def add_amounts(total: Grants, team: str, cores: float, cards: float) -> None:
+    before = total.get(team, NOTHING)
+    total[team] = (before[0] + cores, before[1] + cards)
+
+
 def limits_of(team: wire.Team) -> Amounts:
     return (team.cpus_max or NO_LIMIT, team.gpus_max or NO_LIMIT)
 
--- a/src/ramptide/cloud.py
+++ b/src/ramptide/cloud.py
@@ -9,6 +9,7 @@
 from ramptide import wire
 from ramptide.context import JSON, Context, Reply
 from ramptide.limits import Bucket, Gate, Rank
+from ramptide.records import RentalRecord
 
 log = logging.getLogger(__name__)
 
@@ -46,7 +47,7 @@
         self._call(Rank.READ, "GET", wire.FLAVORS, b"", lambda reply: done(_read(wire.decode_flavors, reply)))
 
     def rent(
-        self, name: str, flavor: str, yard: str, spot: bool, done: Callable[[list[str] | None, bool], None]
+        self, name: str, rental: RentalRecord, done: Callable[[list[str] | None, bool], None]
     ) -> None:
         """`done(hosts, refused)`: hosts is None when there is no answer; refused when there is no capacity."""
 
@@ -56,7 +57,8 @@
             )
             done(_read(wire.decode_hired, reply), refused)
 
-        self._call(Rank.COMMIT, "POST", wire.RENTALS, wire.encode_hire(name, flavor, yard, spot, 1), answered)
+        body = wire.encode_hire(name, rental.flavor, rental.yard, rental.spot, rental.count)
+        self._call(Rank.COMMIT, "POST", wire.RENTALS, body, answered)
 
     def give_back(self, hosts: list[str], done: Callable[[bool], None]) -> None:
         """`done(True)` proves that the machines and all on them are gone."""
--- a/src/ramptide/desk.py
+++ b/src/ramptide/desk.py
@@ -1,6 +1,7 @@
 """What users are answered: submissions, polls and cancellations. Nothing is promised before its commit."""
 
 import logging
+import math
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -8,8 +9,9 @@
 
 from ramptide import wire
 from ramptide.allowances import limits_of
+from ramptide.commits import Commits
 from ramptide.jobs import Job
-from ramptide.membership import VIEW, Membership
+from ramptide.membership import Membership
 from ramptide.mirror import Mirror
 from ramptide.placement import can_ever_run
 from ramptide.records import ENDED, JOB, EndRecord, JobRecord, Progress, to_value
@@ -19,8 +21,10 @@
 
 Answer = Callable[[int, bytes, dict[str, str]], None]
 
-RETRY_AFTER = {"Retry-After": "1"}
 TRIES = 5
+PATIENCE = timedelta(seconds=1)
+LATEST = 30
+ENDED_KEPT = 5000
 AGAIN = timedelta(milliseconds=120)
 
 
@@ -34,6 +38,7 @@
         store: Store,
         mirror: Mirror,
         membership: Membership,
+        commits: Commits,
         jobs: dict[str, Job],
         flavors: dict[str, wire.Flavor],
         teams: dict[str, wire.Team],
@@ -44,17 +49,27 @@
         self._store = store
         self._mirror = mirror
         self._membership = membership
+        self._commits = commits
         self._jobs = jobs
         self._flavors = flavors
         self._teams = teams
         self._home_for = home_for
         self._running = running
         self._withdrawn = withdrawn
-        self._asking: dict[str, list[Callable[[tuple[JobRecord | EndRecord | None, int] | None], None]]] = {}
+        # Final states never change, so one that was read or committed here need not be read again.
+        self._ended: dict[str, EndRecord] = {}
+        self._asking: dict[str, list[Callable[[EndRecord | None, bool], None]]] = {}
 
     @staticmethod
-    def _busy(answer: Answer, text: str) -> None:
-        answer(503, error(text), RETRY_AFTER)
+    def _busy(answer: Answer, text: str, wait: timedelta = timedelta(0)) -> None:
+        seconds = min(max(math.ceil(wait.total_seconds()), 1), LATEST)
+        answer(503, error(text), {"Retry-After": str(seconds)})
+
+    def ended(self, ref: str, record: EndRecord) -> None:
+        """A final state that was committed."""
+        self._ended[ref] = record
+        while len(self._ended) > ENDED_KEPT:
+            del self._ended[next(iter(self._ended))]
 
     # Submissions.
 
@@ -91,6 +106,10 @@
     def _accept(self, run: wire.Run, answer: Answer, tries: int) -> None:
         view = self._membership.view
         assert view is not None
+        delay = self._commits.delay()
+        if delay > PATIENCE:
+            self._busy(answer, "more is asked than the state service takes", delay)
+            return
         record = JobRecord(
             run=run,
             home=self._home_for(run),
@@ -103,7 +122,7 @@
             answer(400, error("the description is too long"), {})
             return
         key, ended = JOB + run.ref, ENDED + run.ref
-        txn = Txn(when={VIEW: self._membership.view_stamp, key: 0, ended: 0}, puts=[(key, value, None)])
+        txn = Txn(when={key: 0, ended: 0}, puts=[(key, value, None)])
 
         def done(outcome: Outcome) -> None:
             if outcome.epoch is not None:
@@ -119,7 +138,7 @@
             else:
                 self._busy(answer, "the state service does not answer")
 
-        self._store.txn(txn, done)
+        self._commits.add(txn, done)
 
     def _known(self, ref: str, answer: Answer, problem: str | None) -> None:
         """The present state of a job that is there already; `problem` if it is not."""
@@ -144,79 +163,67 @@
     def _tell(self, ref: str, answer: Answer, missing: Callable[[], None]) -> None:
         """Answers with the job's present state, or calls `missing` when it was never accepted."""
 
-        def found(state: tuple[JobRecord | EndRecord | None, int] | None) -> None:
-            if state is None:
+        def found(state: Job | EndRecord | None, known: bool) -> None:
+            if not known:
                 self._busy(answer, "the state service does not answer")
-            elif state[0] is None:
-                missing()
+            elif isinstance(state, EndRecord):
+                answer(200, wire.encode_job(ref, state.status, state.done, 0), {})
+            elif state is not None:
+                done = state.progress.count
+                running = min(self._running(ref), state.run.pieces - done)
+                answer(200, wire.encode_job(ref, wire.RUNNING if running else wire.PENDING, done, running), {})
             else:
-                answer(200, self._show(ref, state[0]), {})
+                missing()
+
+        self._find(ref, found)
 
-        self._read(ref, found)
+    def _find(self, ref: str, found: Callable[[Job | EndRecord | None, bool], None]) -> None:
+        """The job as a state shows it that was read after this call, so that no answer is older than one that
+        another node gave: one read of what changed serves all who ask before it leaves, since the watched copy
+        has the jobs that are not over. A final state that is known already can't change."""
+        if ref in self._ended:
+            found(self._ended[ref], True)
+            return
 
-    def _show(self, ref: str, record: JobRecord | EndRecord) -> bytes:
-        if isinstance(record, EndRecord):
-            return wire.encode_job(ref, record.status, record.done, 0)
-        done = Progress.decode(record.done).count
-        running = min(self._running(ref), record.run.pieces - done)
-        return wire.encode_job(ref, wire.RUNNING if running else wire.PENDING, done, running)
+        def read(fresh: bool) -> None:
+            if not fresh:
+                found(None, False)
+            elif ref in self._jobs:
+                found(self._jobs[ref], True)
+            else:
+                # A job moves from live to ended in one transaction and never back, so one that was ever
+                # accepted and is not live any more is found there.
+                self._read_ended(ref, found)
 
-    def _read(
-        self, ref: str, found: Callable[[tuple[JobRecord | EndRecord | None, int] | None], None]
-    ) -> None:
-        """Reads through to the state service, so that no answer is older than one that another node gave.
+        self._mirror.catch_up(read)
 
-        Requests that come before the read is sent share it; later ones wait for the next.
-        """
-        if self._mirror.lacking:
-            found(None)
-            return
+    def _read_ended(self, ref: str, found: Callable[[EndRecord | None, bool], None]) -> None:
+        """Requests that come before the read is sent share it; later ones wait for the next."""
         waiting = self._asking.get(ref)
         if waiting is not None:
             waiting.append(found)
             return
-        self._asking[ref] = [found]
-        self._start_read(ref)
-
-    def _start_read(self, ref: str) -> None:
-        asked = self._asking[ref]
+        asked = self._asking[ref] = [found]
 
         def sending() -> None:
             del self._asking[ref]
 
-        def finish(state: tuple[JobRecord | EndRecord | None, int] | None) -> None:
+        def done(row: wire.Row | None, known: bool) -> None:
             if self._asking.get(ref) is asked:
                 del self._asking[ref]
+            record = None
+            if row is not None:
+                try:
+                    record = msgspec.convert(row.v, EndRecord)
+                except msgspec.ValidationError as problem:
+                    log.error("broken record %s: %s", row.path, problem)
+                    known = False
+                else:
+                    self.ended(ref, record)
             for one in asked:
-                one(state)
-
-        def live(row: wire.Row | None, known: bool) -> None:
-            if not known:
-                finish(None)
-            elif row is not None:
-                finish(self._decode(row, JobRecord))
-            else:
-                # A job moves from live to ended in one transaction and never back, so read in this order
-                # a job that was ever accepted is found.
-                self._store.get(ENDED + ref, ended)
-
-        def ended(row: wire.Row | None, known: bool) -> None:
-            if not known:
-                finish(None)
-            else:
-                finish((None, 0) if row is None else self._decode(row, EndRecord))
-
-        self._store.get(JOB + ref, live, sending)
+                one(record, known)
 
-    @staticmethod
-    def _decode(
-        row: wire.Row, kind: type[JobRecord] | type[EndRecord]
-    ) -> tuple[JobRecord | EndRecord | None, int] | None:
-        try:
-            return msgspec.convert(row.v, kind), row.stamp
-        except msgspec.ValidationError as problem:
-            log.error("broken record %s: %s", row.path, problem)
-            return None
+        self._store.get(ENDED + ref, done, sending)
 
     # Cancellations.
 
@@ -228,35 +235,42 @@
             self._busy(answer, "the state service does not answer")
             return
 
-        def found(state: tuple[JobRecord | EndRecord | None, int] | None) -> None:
-            if state is None:
+        def found(state: Job | EndRecord | None, known: bool) -> None:
+            if not known:
                 self._busy(answer, "the state service does not answer")
-            elif state[0] is None:
+            elif state is None:
                 answer(404, error("no such job"), {})
-            elif isinstance(state[0], EndRecord):
-                answer(200, wire.encode_job(ref, state[0].status), {})
+            elif isinstance(state, EndRecord):
+                answer(200, wire.encode_job(ref, state.status), {})
             else:
-                self._withdraw(ref, state[0], state[1], answer, tries)
+                self._withdraw(state, answer, tries)
 
-        self._read(ref, found)
+        job = self._jobs.get(ref)
+        if job is not None:
+            # The transaction is conditional on the record's stamp, so it is as good as a read.
+            self._withdraw(job, answer, tries)
+        else:
+            self._find(ref, found)
 
-    def _withdraw(self, ref: str, record: JobRecord, stamp: int, answer: Answer, tries: int) -> None:
-        end = EndRecord(wire.WITHDRAWN, record.run.pieces, Progress.decode(record.done).count)
-        txn = Txn(
-            when={VIEW: self._membership.view_stamp, JOB + ref: stamp},
-            puts=[(ENDED + ref, to_value(end), None)],
-            drops=[JOB + ref],
-        )
+    def _withdraw(self, job: Job, answer: Answer, tries: int) -> None:
+        delay = self._commits.delay()
+        if delay > PATIENCE:
+            self._busy(answer, "more is asked than the state service takes", delay)
+            return
+        ref = job.ref
+        end = EndRecord(wire.WITHDRAWN, job.run.pieces, job.progress.count)
+        txn = Txn(when={JOB + ref: job.stamp}, puts=[(ENDED + ref, to_value(end), None)], drops=[JOB + ref])
 
         def done(outcome: Outcome) -> None:
             if outcome.epoch is not None:
+                self.ended(ref, end)
                 self._mirror.applied(outcome.epoch, txn.puts, txn.drops)
                 self._withdrawn(ref)
                 answer(200, wire.encode_job(ref, wire.WITHDRAWN), {})
             elif tries > 1 and not self._mirror.lacking and (outcome.failed is not None or outcome.sent):
                 # The record or the view moved on, or nobody knows: read again and see.
-                self._store.context.after(AGAIN, lambda: self.cancel(ref, answer, tries - 1))
+                self._mirror.catch_up(lambda fresh: self.cancel(ref, answer, tries - 1))
             else:
                 self._busy(answer, "the state service does not answer")
 
-        self._store.txn(txn, done)
+        self._commits.add(txn, done)
--- a/src/ramptide/fleet.py
+++ b/src/ramptide/fleet.py
@@ -9,9 +9,10 @@
 from dataclasses import dataclass, field, replace
 from datetime import timedelta
 from enum import Enum, auto
+from typing import Any
 
 from ramptide import wire
-from ramptide.placement import Room, fill
+from ramptide.placement import Room, fill, needs
 from ramptide.records import MachineRecord
 from ramptide.settings import Tuning
 
@@ -44,6 +45,7 @@
     drained: bool
     listed: str | None = None
     known: bool = True
+    deaf: timedelta = ZERO
 
 
 @dataclass(slots=True)
@@ -67,6 +69,7 @@
     """What a step decided."""
 
     rent: Kind | None = None
+    count: int = 0
     leave: dict[str, str] = field(default_factory=dict)
     stay: list[str] = field(default_factory=list)
     give_back: list[str] = field(default_factory=list)
@@ -112,14 +115,19 @@
         ]
         self.waiting = self.long_waiting = 0
         uncovered = []
-        for demand in demands:
-            left = demand.tasks - fill(demand.run, demand.tasks, rooms, demand.placed)
-            if left > 0:
-                uncovered.append(replace(demand, tasks=left))
-        for demand in uncovered:
-            self.waiting += demand.tasks
-            if demand.waited > self.tuning.long_wait:
-                self.long_waiting += demand.tasks
+        for alike in _alike(demands):
+            run = alike[0].run
+            found = fill(run, sum(demand.tasks for demand in alike), rooms, alike[0].placed)
+            left = 0
+            for demand in alike:
+                covered = min(found, demand.tasks)
+                found -= covered
+                left += demand.tasks - covered
+                if demand.waited > self.tuning.long_wait:
+                    self.long_waiting += demand.tasks - covered
+            if left:
+                self.waiting += left
+                uncovered.append(replace(alike[0], tasks=left))
         return uncovered
 
     def _watch(self, now: timedelta) -> None:
@@ -156,8 +164,9 @@
         if rebuilt:
             if self.trigger is Trigger.HIGH:
                 plan.rent = self._cheapest(now, uncovered, flavors)
+                plan.count = self._how_many(plan.rent, uncovered, flavors)
             elif self.trigger is Trigger.QUIET and self._pool_short(machines):
-                plan.rent = self._pool_kind(now, flavors)
+                plan.rent, plan.count = self._pool_kind(now, flavors), 1
             self._cool_down(now, machines, plan)
         return plan
 
@@ -180,13 +189,15 @@
                     reason = "silent"
                 elif machine.age > boot * self.tuning.boot_factor + timedelta(seconds=20):
                     reason = "never up"
+            elif machine.deaf > self._lease * self.tuning.silent_leases:
+                reason = "deaf"
             if reason is not None and leaving in (None, "idle"):
                 plan.leave[machine.host] = reason
             elif leaving is not None:
                 self._see_off(machine, leaving, reason, plan)
 
     def _see_off(self, machine: Machine, leaving: str, reason: str | None, plan: Plan) -> None:
-        dead = leaving in ("gone", "silent", "never up", "taken")
+        dead = leaving in ("gone", "silent", "deaf", "never up", "taken")
         if dead or machine.drained or machine.silent > self._lease * self.tuning.silent_leases:
             plan.give_back.append(machine.host)
         elif leaving == "idle" and machine.tasks:
@@ -248,6 +259,24 @@
                 best = (cost, (flavor.name, yard, spot))
         return best[1] if best is not None else None
 
+    def _how_many(self, kind: Kind | None, uncovered: list[Demand], flavors: Iterable[wire.Flavor]) -> int:
+        """One machine a step is the rule; while the counts ask for more than that many times over, as they do with
+        hundreds of machines, a step rents several of its kind, up to `step_most`."""
+        flavor = next((one for one in flavors if kind is not None and one.name == kind[0]), None)
+        if kind is None or flavor is None:
+            return 0
+        left = [replace(demand) for demand in uncovered]
+        for count in range(self.tuning.step_most):
+            room = Room("", flavor.name, kind[1], kind[2], flavor.cores, flavor.cards, flavor.ram_gb)
+            taken = 0
+            for demand in left:
+                found = fill(demand.run, demand.tasks, [room], demand.placed)
+                demand.tasks -= found
+                taken += found
+            if not taken:
+                return count
+        return self.tuning.step_most
+
     @staticmethod
     def _weight(run: wire.Run) -> float:
         """What a task counts for when the prices of kinds are compared: its share of work, however it is bound."""
@@ -260,3 +289,11 @@
         ]
         return min(kinds)[1] if kinds else None
 
+
+def _alike(demands: list[Demand]) -> Iterable[list[Demand]]:
+    """Demands that any room serves alike, the most urgent first; zone rules look at each job's own tasks."""
+    groups: dict[Any, list[Demand]] = {}
+    for demand in demands:
+        own = demand.run.ref if demand.run.one_zone or demand.run.spread else None
+        groups.setdefault((needs(demand.run), own), []).append(demand)
+    return groups.values()
--- /dev/null
+++ b/src/ramptide/floor.py
@@ -0,0 +1,188 @@
+"""What is known of all machines, ours and the others', and what room they have: indexes kept up to date by events."""
+
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from ramptide import wire
+from ramptide.agents import OVER, EntryId, HostRow, Phase, TaskRow
+from ramptide.jobs import Attempt, Job
+from ramptide.placement import Room
+from ramptide.records import MachineRecord
+
+ZERO = timedelta(0)
+
+
+@dataclass(slots=True)
+class Host:
+    """A machine as its owner told of it last."""
+
+    settled: bool = False
+    up: bool = False
+    leaving: bool = False
+    quiet: bool = False
+    heard: timedelta = ZERO
+    notice: timedelta | None = None
+    failing: int = 0
+    deaf_since: timedelta | None = None
+    quick: bool = False
+    images: list[str] = field(default_factory=list)
+    tasks: list[TaskRow] = field(default_factory=list)
+    busy: int = 0
+    known: bool = False
+
+
+class Floor:
+    """`rooms` holds what is free on machines that take tasks, as of the last `refresh`."""
+
+    def __init__(
+        self,
+        machines: Mapping[str, MachineRecord],
+        flavors: Mapping[str, wire.Flavor],
+        jobs: Mapping[str, Job],
+        attempts: Callable[[str], Iterable[Attempt]],
+    ) -> None:
+        self._machines = machines
+        self._flavors = flavors
+        self._jobs = jobs
+        self._attempts = attempts
+        self.sick_jobs = 2
+        self.hosts: dict[str, Host] = {}
+        self.rooms: dict[str, Room] = {}
+        self.running: Counter[str] = Counter()
+        self.pool: list[str] = []
+        self._where: dict[str, set[str]] = {}
+        self._stale: set[str] = set()
+        self._unclear: set[str] = set()
+
+    # Events.
+
+    def touch(self, name: str) -> None:
+        """Something that the machine's room depends on has changed."""
+        self._stale.add(name)
+
+    def touch_all(self) -> None:
+        self._stale.update(self._machines)
+
+    def add(self, name: str) -> None:
+        self.hosts.setdefault(name, Host())
+        self.touch(name)
+
+    def remove(self, name: str) -> None:
+        if name in self.hosts:
+            self._list(name, [])
+            del self.hosts[name]
+        self.touch(name)
+
+    def new_view(self) -> None:
+        """All that was known of who runs what is rebuilt from the workers' reports; the images stay."""
+        self.hosts = {name: Host(images=host.images) for name, host in self.hosts.items()}
+        self.running.clear()
+        self._where.clear()
+        self._unclear.clear()
+        self.touch_all()
+
+    def keep_pool(self, pool: list[str]) -> None:
+        if pool != self.pool:
+            self._stale.update(self.pool, pool)
+            self.pool = pool
+
+    def show(self, name: str, row: HostRow | None, now: timedelta) -> None:
+        """Takes the row of the machine's owner."""
+        host = self.hosts.get(name)
+        if host is None:
+            return
+        self.touch(name)
+        if row is None:
+            self._list(name, [])
+            self.hosts[name] = Host(images=host.images)
+            return
+        host.known = True
+        host.settled, host.up, host.leaving = row.settled, row.up, row.leaving
+        host.quiet = row.silent > 0
+        host.heard = now - timedelta(seconds=row.silent)
+        host.notice = None if row.notice is None else now + timedelta(seconds=row.notice)
+        host.deaf_since = None if row.deaf is None else now - timedelta(seconds=row.deaf)
+        host.failing, host.quick, host.images = row.failing, row.quick, row.images
+        self._list(name, row.tasks)
+
+    def _list(self, name: str, tasks: list[TaskRow]) -> None:
+        host = self.hosts[name]
+        for row in host.tasks:
+            if row[3] == wire.RUNNING:
+                self.running[row[0]] -= 1
+                if not self.running[row[0]]:
+                    del self.running[row[0]]
+            where = self._where.get(row[0])
+            if where is not None:
+                where.discard(name)
+                if not where:
+                    del self._where[row[0]]
+        host.tasks, host.busy = tasks, 0
+        for row in tasks:
+            if row[3] == wire.RUNNING:
+                self.running[row[0]] += 1
+            if Phase(row[3]) not in OVER:
+                host.busy += 1
+            self._where.setdefault(row[0], set()).add(name)
+
+    def where(self, ref: str) -> list[str]:
+        """The machines whose owners show a task of the job."""
+        return sorted(self._where.get(ref, ()))
+
+    # Room.
+
+    def refresh(self) -> None:
+        """Works out anew the room of what changed."""
+        stale, self._stale = self._stale | self._unclear, set()
+        self._unclear = set()
+        for name in stale:
+            room = self._room(name)
+            if room is None:
+                self.rooms.pop(name, None)
+            else:
+                self.rooms[name] = room
+
+    def _room(self, name: str) -> Room | None:
+        record, host = self._machines.get(name), self.hosts.get(name)
+        if record is None or host is None or not record.opened or not host.settled or not host.up:
+            return None
+        flavor = self._flavors.get(record.flavor)
+        if flavor is None or record.leaving is not None or host.leaving or host.notice is not None:
+            return None
+        if host.quiet or host.deaf_since is not None or host.failing >= self.sick_jobs:
+            return None
+        size = (flavor.cores, flavor.cards, flavor.ram_gb)
+        room = Room(name, record.flavor, record.yard, record.spot, *size, frozenset(host.images))
+        shown: set[EntryId] = set()
+        for ref, task, number, phase, _cause in host.tasks:
+            if Phase(phase) in OVER:
+                continue
+            job = self._jobs.get(ref)
+            if job is None:
+                # A job that is over, or that we have yet to hear of: nobody knows what it takes.
+                self._unclear.add(name)
+                return None
+            room.take(job.run)
+            shown.add((ref, task, number))
+        busy = bool(shown)
+        for attempt in self._attempts(name):
+            if attempt.key not in shown and attempt.phase not in OVER:
+                room.take(attempt.run)
+                busy = True
+        room.idle = not busy
+        room.quick = host.quick
+        # Services are what people wait for: the pool and the machines that run only services are theirs.
+        room.kept = not record.spot and (name in self.pool or busy and host.quick)
+        return room
+
+    def free(self, names: Iterable[str] | None = None) -> Iterator[Room]:
+        """The rooms, of some machines or of all."""
+        if names is None:
+            yield from self.rooms.values()
+            return
+        for name in names:
+            room = self.rooms.get(name)
+            if room is not None:
+                yield room
--- a/src/ramptide/http.py
+++ b/src/ramptide/http.py
@@ -324,7 +324,7 @@
     def __init__(self, server: "Server", sock: socket.socket) -> None:
         super().__init__(server.loop, sock)
         self.server = server
-        self.parser = Parser()
+        self.parser = Parser(max_body=server.max_body)
         self.busy = False
         self.ending = False
         self.since = self.loop.now
@@ -400,12 +400,19 @@
     """Listens on an address and hands each request to `handler` as an Exchange."""
 
     def __init__(
-        self, loop: Loop, address: str, handler: Callable[[Exchange], None], room: int, idle: timedelta
+        self,
+        loop: Loop,
+        address: str,
+        handler: Callable[[Exchange], None],
+        room: int,
+        idle: timedelta,
+        max_body: int = MAX_REQUEST_BODY,
     ) -> None:
         self.loop = loop
         self.handler = handler
         self.room = room
         self.idle = idle
+        self.max_body = max_body
         self.connections: set[_ServerConnection] = set()
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/src/ramptide/jobs.py
+++ b/src/ramptide/jobs.py
@@ -9,9 +9,8 @@
 from typing import Any
 
 from ramptide import wire
-from ramptide.agents import OVER, Phase, Wish
-from ramptide.allowances import Amounts
-from ramptide.placement import Room, choose
+from ramptide.agents import OVER, EntryId, Phase, TaskRow, Wish, WishRow
+from ramptide.allowances import Amounts, add_amounts
 from ramptide.records import WINDOW, JobRecord, Progress
 
 log = logging.getLogger(__name__)
@@ -22,9 +21,6 @@
 SHUN = timedelta(seconds=60)
 REFUSED_PAUSE = timedelta(milliseconds=300)
 
-EntryId = tuple[str, int, int]
-
-
 class Job:
     """A job that is not over, as the state service has it."""
 
@@ -60,6 +56,7 @@
     since: timedelta
     phase: Phase = Phase.QUEUED
     grace: timedelta = ZERO
+    counted: bool = False
 
     @property
     def key(self) -> EntryId:
@@ -119,9 +116,44 @@
         self.attempts: dict[str, dict[EntryId, Attempt]] = {}
         self.limbo: dict[str, list[Attempt]] = {}
         self.seq = 0
+        self.touched = True
+        #: Machines of which we wish something else than before, and jobs with results that are not written.
+        self.wished: set[str] = set()
+        self.results: set[str] = set()
+        #: Attempts that their owners do not show; each is either on its way there or gone.
+        self.unshown: dict[EntryId, Attempt] = {}
         self._next_attempt = first_attempt
+        self._by_ref: dict[str, dict[EntryId, Attempt]] = {}
+        self._using: dict[str, Amounts] = {}
+
+    # The indexes: one function adds an attempt, one removes it, one counts it.
+
+    def _add(self, attempt: Attempt) -> None:
+        self.attempts.setdefault(attempt.host, {})[attempt.key] = attempt
+        self._by_ref.setdefault(attempt.run.ref, {})[attempt.key] = attempt
+        self.unshown[attempt.key] = attempt
+        self.wished.add(attempt.host)
+        self._count(attempt)
+        self.touched = True
+
+    def _remove(self, attempt: Attempt) -> None:
+        for index, name in ((self.attempts, attempt.host), (self._by_ref, attempt.run.ref)):
+            entries = index.get(name)
+            if entries is not None and entries.pop(attempt.key, None) is not None and not entries:
+                del index[name]
+        self.unshown.pop(attempt.key, None)
+        self.wished.add(attempt.host)
+        self._count(attempt, gone=True)
         self.touched = True
 
+    def _count(self, attempt: Attempt, gone: bool = False) -> None:
+        """Whatever may possibly be on a machine counts against its team."""
+        counts = not gone and attempt.phase not in OVER
+        if counts is not attempt.counted:
+            attempt.counted = counts
+            sign = 1 if counts else -1
+            add_amounts(self._using, attempt.run.team, attempt.run.cores * sign, attempt.run.cards * sign)
+
     # Which jobs are ours.
 
     def take_job(self, job: Job, now: timedelta) -> Work:
@@ -138,10 +170,10 @@
         """Another controller is the job's home now; the attempts are its affair."""
         if self.works.pop(ref, None) is None:
             return
-        for entries in self.attempts.values():
-            for key in [key for key in entries if key[0] == ref]:
-                # Counted as ours until the new home says that it counts them, and lowers our allowance for it.
-                self.limbo.setdefault(ref, []).append(entries.pop(key))
+        for attempt in list(self._by_ref.get(ref, {}).values()):
+            # Counted as ours until the new home says that it counts them, and lowers our allowance for it.
+            self._remove(attempt)
+            self.limbo.setdefault(ref, []).append(attempt)
         self.touched = True
 
     def taken_over(self, ref: str) -> None:
@@ -152,14 +184,21 @@
         work = self.works.pop(ref, None)
         if work is None:
             return
-        for attempt in self.all_attempts():
-            if attempt.run.ref == ref:
-                self._wish(attempt, Wish.REAP if attempt.phase in OVER else Wish.STOP, ZERO)
+        self.results.discard(ref)
+        for attempt in list(self._by_ref.get(ref, {}).values()):
+            self._wish(attempt, Wish.REAP if attempt.phase in OVER else Wish.STOP, ZERO)
         self.touched = True
 
+    def recorded(self, ref: str) -> None:
+        """The state service has more of the job's results: the workers need not keep those any more."""
+        work = self.works.get(ref)
+        for attempt in list(self._by_ref.get(ref, {}).values()):
+            if attempt.phase is Phase.ENDED and work is not None and attempt.task in work.job.progress:
+                self._wish(attempt, Wish.REAP)
+
     def all_attempts(self) -> Iterator[Attempt]:
-        for entries in list(self.attempts.values()):
-            yield from list(entries.values())
+        for entries in self.attempts.values():
+            yield from entries.values()
 
     # Starting and stopping.
 
@@ -170,10 +209,9 @@
         return attempt
 
     def _hold(self, work: Work, attempt: Attempt) -> None:
-        self.attempts.setdefault(attempt.host, {})[attempt.key] = attempt
+        self._add(attempt)
         work.placed[attempt.task] = attempt
         work.yards[attempt.yard] += 1
-        self.touched = True
 
     def stop(self, attempt: Attempt, grace: timedelta) -> None:
         if attempt.wish is Wish.RUN:
@@ -182,6 +220,7 @@
     def _wish(self, attempt: Attempt, wish: Wish, grace: timedelta = ZERO) -> None:
         if attempt.wish is not wish:
             attempt.wish, attempt.grace, attempt.seq = wish, grace, self.seq + 1
+            self.wished.add(attempt.host)
             self.touched = True
 
     def _release(self, attempt: Attempt) -> None:
@@ -196,11 +235,7 @@
         self.touched = True
 
     def _drop(self, attempt: Attempt) -> None:
-        entries = self.attempts.get(attempt.host)
-        if entries is not None:
-            entries.pop(attempt.key, None)
-            if not entries:
-                del self.attempts[attempt.host]
+        self._remove(attempt)
         self._release(attempt)
 
     def host_gone(self, host: str) -> None:
@@ -213,15 +248,8 @@
 
     # What owners show.
 
-    def read(
-        self,
-        host: str,
-        yard: str,
-        ack: int,
-        tasks: list[list[Any]],
-        now: timedelta,
-    ) -> None:
-        """Takes the owner's list for a machine; `ack` is the last of our messages that the owner had processed."""
+    def read(self, host: str, yard: str, tasks: list[TaskRow], now: timedelta) -> None:
+        """Takes the owner's list for a machine."""
         shown: set[EntryId] = set()
         entries = self.attempts.get(host, {})
         for ref, task, number, phase, cause in tasks:
@@ -229,15 +257,17 @@
             shown.add(key)
             attempt = entries.get(key) or self._found(host, yard, key, Phase(phase), now)
             if attempt is not None:
+                self.unshown.pop(key, None)
                 self._advance(attempt, Phase(phase), cause, now)
-        for ref, attempts in list(self.limbo.items()):
-            left = [a for a in attempts if a.host != host or a.key in shown or ack < a.seq]
-            if left:
-                self.limbo[ref] = left
-            else:
-                del self.limbo[ref]
-        for attempt in list(self.attempts.get(host, {}).values()):
-            if attempt.key in shown or ack < attempt.seq:
+        for key, attempt in self.attempts.get(host, {}).items():
+            if key not in shown:
+                self.unshown[key] = attempt
+
+    def acknowledged(self, ack: int, answered: Callable[[str], list[TaskRow] | None]) -> None:
+        """An owner has processed our messages up to `ack`: what it does not show is not there. `answered` gives
+        its list for a machine, None while that proves nothing."""
+        for attempt in list(self.unshown.values()):
+            if ack < attempt.seq or answered(attempt.host) is None:
                 continue
             if attempt.wish is Wish.RUN:
                 # The owner did not know the machine when our wish came. A later message of ours may still
@@ -245,6 +275,17 @@
                 self._wish(attempt, Wish.REAP)
             else:
                 self._drop(attempt)
+        for ref, attempts in list(self.limbo.items()):
+            left = []
+            for attempt in attempts:
+                tasks = answered(attempt.host)
+                gone = tasks is not None and ack >= attempt.seq and all(row[:3] != attempt.key for row in tasks)
+                if not gone:
+                    left.append(attempt)
+            if left:
+                self.limbo[ref] = left
+            else:
+                del self.limbo[ref]
 
     def _found(self, host: str, yard: str, key: EntryId, phase: Phase, now: timedelta) -> Attempt | None:
         """An attempt of a job of ours that an earlier home started."""
@@ -253,17 +294,18 @@
             return None
         attempt = Attempt(work.job.run, key[1], key[2], host, yard, Wish.RUN, self.seq + 1, now, phase)
         if phase not in OVER and (key[1] in work.done or key[1] in work.placed):
-            self.attempts.setdefault(host, {})[key] = attempt
+            self._add(attempt)
             self._wish(attempt, Wish.STOP)
         elif phase not in OVER:
             self._hold(work, attempt)
         else:
-            self.attempts.setdefault(host, {})[key] = attempt
+            self._add(attempt)
             attempt.phase = Phase.QUEUED
         return attempt
 
     def _advance(self, attempt: Attempt, phase: Phase, cause: str | None, now: timedelta) -> None:
         before, attempt.phase = attempt.phase, phase
+        self._count(attempt)
         if phase not in OVER:
             return
         work = self.works.get(attempt.run.ref)
@@ -283,6 +325,7 @@
         work.failed_on.clear()
         work.backoff = ZERO
         if work.job.run.shape == wire.BATCH and work.done.add(attempt.task):
+            self.results.add(attempt.run.ref)
             self.touched = True
 
     def _task_failed(self, work: Work, attempt: Attempt, now: timedelta) -> None:
@@ -297,33 +340,37 @@
 
     # What the others need to know.
 
-    def wishes(self) -> dict[str, list[list[Any]]]:
-        return {
-            host: [
-                [a.run.ref, a.task, a.number, a.wish.value, a.grace.total_seconds()] for a in entries.values()
-            ]
-            for host, entries in self.attempts.items()
-        }
+    def wishes(self, host: str) -> list[WishRow] | None:
+        """All that we wish of a machine; None when that is nothing."""
+        entries = self.attempts.get(host)
+        if entries is None:
+            return None
+        return [
+            (a.run.ref, a.task, a.number, a.wish.value, a.grace.total_seconds()) for a in entries.values()
+        ]
 
     def using(self) -> dict[str, Amounts]:
         """What each team's attempts hold: whatever may possibly be on a machine counts."""
-        return _sum(self.all_attempts())
+        return dict(self._using)
 
     def in_limbo(self) -> dict[str, dict[str, Amounts]]:
         """The same for each job that was handed over and that its new home does not count yet."""
-        return {ref: _sum(attempts) for ref, attempts in self.limbo.items()}
+        return {ref: sum_amounts(attempts) for ref, attempts in self.limbo.items()}
 
     def held(self) -> dict[str, Amounts]:
         """Both together: what our allowance has to cover."""
-        return _sum([*self.all_attempts(), *(a for attempts in self.limbo.values() for a in attempts)])
+        total = self.using()
+        for attempts in self.limbo.values():
+            for team, (cores, cards) in sum_amounts(attempts).items():
+                add_amounts(total, team, cores, cards)
+        return total
 
 
-def _sum(attempts: Iterable[Attempt]) -> dict[str, Amounts]:
+def sum_amounts(attempts: Iterable[Attempt]) -> dict[str, Amounts]:
     total: dict[str, Amounts] = {}
     for attempt in attempts:
         if attempt.phase not in OVER:
-            cores, cards = total.get(attempt.run.team, (0.0, 0.0))
-            total[attempt.run.team] = (cores + attempt.run.cores, cards + attempt.run.cards)
+            add_amounts(total, attempt.run.team, attempt.run.cores, attempt.run.cards)
     return total
 
 
@@ -343,36 +390,3 @@
         job.submitted,
         run.ref,
     )
-
-
-def place(
-    home: Home,
-    works: Iterable[Work],
-    rooms: list[Room],
-    allowance: Callable[[wire.Run], int],
-    now: timedelta,
-    long_wait: timedelta,
-) -> int:
-    """Starts what finds room, in the order given; returns how many.
-
-    What has waited for long takes any room: with no capacity to be had, an idle pool helps nobody.
-    """
-    started = 0
-    for work in works:
-        if work.frozen or work.hold > now:
-            continue
-        if work.shunned:
-            work.shunned = {host: until for host, until in work.shunned.items() if until > now}
-        usable = [room for room in rooms if room.host not in work.shunned] if work.shunned else rooms
-        left = allowance(work.job.run)
-        any_room = work.waiting_since is not None and now - work.waiting_since > long_wait
-        while left > 0 and (task := work.next_task()) is not None:
-            room = choose(work.job.run, usable, work.yards, any_room)
-            if room is None:
-                break
-            home.start(work, task, room.host, room.yard, now)
-            room.take(work.job.run)
-            room.idle = False
-            started += 1
-            left -= 1
-    return started
--- a/src/ramptide/leader.py
+++ b/src/ramptide/leader.py
@@ -9,10 +9,9 @@
 from ramptide import wire
 from ramptide.cloud import RETURN_MOST
 from ramptide.context import Handle
-from ramptide.fleet import Fleet, Kind, Plan
-from ramptide.limits import Rank
+from ramptide.fleet import Fleet, Plan
 from ramptide.membership import VIEW
-from ramptide.records import FLAVORS, HIRE, MACHINE, HireRecord, MachineRecord, to_value
+from ramptide.records import FLAVORS, RENTAL, HostRecord, RentalRecord, to_value
 from ramptide.store import Outcome, Txn
 
 if TYPE_CHECKING:
@@ -21,6 +20,7 @@
 log = logging.getLogger(__name__)
 
 ZERO = timedelta(0)
+RETURNED_KEPT = 10_000
 
 
 class Leader:
@@ -36,7 +36,7 @@
         self._answered: dict[str, list[str]] = {}
         self._refused: set[str] = set()
         self._returning: set[str] = set()
-        self._returned: dict[str, timedelta] = {}
+        self._returned: dict[str, None] = {}
         self._gone: set[str] = set()
         self._list_at: timedelta | None = None
         self._listing = False
@@ -68,78 +68,82 @@
             return
         self._read_list()
         self._ask_again()
-        if self._writing or c.mirror.lacking:
+        # Before the watch has shown the view, a former leader's last changes may be missing here.
+        if self._writing or c.mirror.lacking or c.mirror.epoch < c.membership.view_stamp:
             return
         self.fleet.tuning = c.tuning
         listed = {host: rented.status for host, rented in self._listed.items()}
-        machines = c.machines_known(listed, self._missing)
+        machines = c.starter.machines_known(listed, self._missing)
         # Nothing is rented before a new leader has rebuilt what it knows from reports and a fresh list.
         # Lost machines are given back meanwhile: the answer proves them gone, and that settles them.
         rebuilt = c.latched and self._list_at is not None
-        plan = self.fleet.step(c.context.now, c.demands(), machines, c.flavors.values(), rebuilt)
-        c.pool = self.fleet.pool
+        plan = self.fleet.step(c.context.now, c.starter.demands(), machines, c.flavors.values(), rebuilt)
+        c.floor.keep_pool(self.fleet.pool)
         self._return(plan)
         self._write(plan)
 
     def _write(self, plan: Plan) -> None:
         """The step's one transaction: conditional on the view, so that a leader of the past writes nothing."""
         c = self._c
-        room = c.store.limits.txn_ops
-        txn = Txn(when={VIEW: c.membership.view_stamp})
-        wall = c.context.wall().timestamp()
-        new: dict[str, MachineRecord] = {}
         assert c.view is not None
+        edits: dict[str, RentalRecord | None] = {}
+        open_ones = {name: rental for name, rental in c.rentals.items() if rental.hosts is None}
+        self._answered = {name: hosts for name, hosts in self._answered.items() if name in open_ones}
+        self._refused &= open_ones.keys()
         for name, hosts in self._answered.items():
-            hire = c.hires.get(name)
-            if hire is not None and txn.size + len(hosts) + 1 <= room:
-                new |= {
-                    host: MachineRecord(hire.flavor, hire.yard, hire.spot, c.view.number, hire.at)
-                    for host in hosts
-                }
-                txn.drops.append(HIRE + name)
-        for name in self._refused:
-            if name in c.hires and txn.size + len(new) < room:
-                txn.drops.append(HIRE + name)
-        new |= self._adoptions(wall, new)
-        for host, record in new.items():
-            if host not in c.machines and txn.size < room:
-                txn.when[MACHINE + host] = 0
-                txn.puts.append((MACHINE + host, to_value(record), None))
-        for host in self._gone:
-            if host in c.machines and txn.size < room:
-                txn.drops.append(MACHINE + host)
-        for host, changed in self._changes(plan).items():
-            if host not in self._gone and txn.size < room:
-                txn.when[MACHINE + host] = c.mirror.stamp(MACHINE + host)
-                txn.puts.append((MACHINE + host, to_value(changed), None))
-        hire_name: str | None = None
-        if plan.rent is not None and txn.size < room:
+            new = {host: HostRecord() for host in hosts if host not in c.machines}
+            edits[name] = msgspec.structs.replace(open_ones[name], born=c.view.number, hosts=new) if new else None
+        edits |= dict.fromkeys(self._refused)
+        self._edit_hosts(edits, plan)
+        if plan.rent is not None:
             self._hired += 1
-            hire_name = f"r-{c.view.number}-{c.membership.incarnation}-{self._hired}"
-            hire = HireRecord(plan.rent[0], plan.rent[1], plan.rent[2], wall)
-            txn.puts.append((HIRE + hire_name, to_value(hire), None))
-        if self.flavors_read and txn.size < room:
+            name = f"r-{c.view.number}-{c.membership.incarnation}-{self._hired}"
+            flavor, yard, spot = plan.rent
+            edits[name] = RentalRecord(flavor, yard, spot, c.context.wall().timestamp(), plan.count)
+        edits |= self._adoptions()
+        txn = Txn(when={VIEW: c.membership.view_stamp})
+        if self.flavors_read:
             self.flavors_read = False
             txn.puts.append((FLAVORS, [msgspec.to_builtins(flavor) for flavor in c.flavors.values()], None))
+        # What does not fit is found again by the next step.
+        for name, record in edits.items():
+            if txn.size < c.store.limits.txn_ops:
+                key = RENTAL + name
+                txn.when[key] = c.mirror.stamp(key)
+                if record is None:
+                    txn.drops.append(key)
+                else:
+                    txn.puts.append((key, to_value(record), None))
         if txn.size:
-            self._commit(txn, hire_name, plan.rent)
+            self._commit(txn)
 
-    def _changes(self, plan: Plan) -> dict[str, MachineRecord]:
-        """Records that change: machines that came up, that leave, or that stay after all."""
+    def _edit_hosts(self, edits: dict[str, RentalRecord | None], plan: Plan) -> None:
+        """Machines that are gone, that came up, that leave, or that stay after all."""
         c = self._c
-        changes: dict[str, MachineRecord] = {}
+        changes: dict[str, HostRecord | None] = {}
         for host, record in c.machines.items():
-            if not record.opened and host in c.floor and c.floor[host].up:
-                changes[host] = msgspec.structs.replace(record, opened=True)
+            if not record.opened and host in c.floor.hosts and c.floor.hosts[host].up:
+                changes[host] = HostRecord(True, record.leaving)
         moves: dict[str, str | None] = dict(plan.leave) | dict.fromkeys(plan.stay)
         for host, reason in moves.items():
-            present = changes.get(host) or c.machines.get(host)
+            present = c.machines.get(host)
             if present is not None:
-                changes[host] = msgspec.structs.replace(present, leaving=reason)
+                changes[host] = HostRecord(present.opened or host in changes, reason)
                 log.info("%s (%s, %s): %s", host, present.flavor, present.yard, reason or "stays after all")
-        return changes
-
-    def _commit(self, txn: Txn, name: str | None, kind: Kind | None) -> None:
+        changes |= dict.fromkeys(host for host in self._gone if host in c.machines)
+        for host, change in changes.items():
+            name = c.machines[host].rental
+            rental = edits.get(name, c.rentals.get(name))
+            if rental is None or rental.hosts is None:
+                continue
+            hosts = dict(rental.hosts)
+            if change is None:
+                hosts.pop(host, None)
+            else:
+                hosts[host] = change
+            edits[name] = msgspec.structs.replace(rental, hosts=hosts) if hosts else None
+
+    def _commit(self, txn: Txn) -> None:
         self._writing = True
 
         def done(outcome: Outcome) -> None:
@@ -147,24 +151,22 @@
             if outcome.epoch is None:
                 return
             self._c.mirror.applied(outcome.epoch, txn.puts, txn.drops)
-            for path in txn.drops:
-                self._answered.pop(path.removeprefix(HIRE), None)
-                self._refused.discard(path.removeprefix(HIRE))
-            if name is not None and kind is not None:
-                self._ask(name, kind)
+            self._ask_again()
 
-        self._c.store.txn(txn, done, Rank.COMMIT)
+        self._c.store.txn(txn, done)
 
     # Rentals.
 
     def _ask_again(self) -> None:
-        """Rentals without an answer, a former leader's included, are asked for again under their names."""
-        for name, hire in self._c.hires.items():
-            if name not in self._asking and name not in self._answered and name not in self._refused:
-                self._ask(name, (hire.flavor, hire.yard, hire.spot))
+        """What was written is asked for; without an answer, a former leader's included, again under its name."""
+        for name, rental in self._c.rentals.items():
+            known = name in self._asking or name in self._answered or name in self._refused
+            if rental.hosts is None and not known:
+                self._ask(name, rental)
 
-    def _ask(self, name: str, kind: Kind) -> None:
+    def _ask(self, name: str, rental: RentalRecord) -> None:
         self._asking.add(name)
+        kind = (rental.flavor, rental.yard, rental.spot)
 
         def done(hosts: list[str] | None, refused: bool) -> None:
             self._asking.discard(name)
@@ -173,6 +175,8 @@
                 self._answered[name] = hosts
                 self.fleet.rented(kind)
                 self._c.counters["rentals"] += len(hosts)
+                if len(hosts) < rental.count:
+                    self.fleet.refused(kind, self._c.context.now)
             elif refused:
                 log.info("no capacity for %s in %s%s", kind[0], kind[1], ", spot" if kind[2] else "")
                 self._refused.add(name)
@@ -180,34 +184,38 @@
                 # Nothing was rented, so the step goes on with the next best kind.
                 self._step()
 
-        self._c.cloud.rent(name, *kind, done)
+        self._c.cloud.rent(name, rental, done)
 
-    def _adoptions(self, wall: float, new: dict[str, MachineRecord]) -> dict[str, MachineRecord]:
+    def _adoptions(self) -> dict[str, RentalRecord | None]:
         """Machines that nobody recorded, as late requests make them: used like any other."""
         c = self._c
         assert c.view is not None
-        found = {}
+        wall = c.context.wall().timestamp()
+        found: dict[str, RentalRecord | None] = {}
         asked = {host for hosts in self._answered.values() for host in hosts}
-        for host, (flavor, yard, spot) in c.strangers().items():
-            if self._unexpected(host, new, asked, c.context.now):
-                found[host] = MachineRecord(flavor, yard, spot, c.view.number, wall)
+
+        def adopt(host: str, flavor: str, yard: str, spot: bool, at: float) -> None:
+            log.info("%s was not expected: taken over", host)
+            found[f"adopted-{host}"] = RentalRecord(
+                flavor, yard, spot, at, born=c.view.number if c.view is not None else 0, hosts={host: HostRecord()}
+            )
+
+        for host, (flavor, yard, spot) in c.syncing.strangers().items():
+            if self._unexpected(host, asked):
+                adopt(host, flavor, yard, spot, wall)
         read = self._list_at if self._list_at is not None else timedelta(0)
         for host, rented in self._listed.items() if self._list_at is not None else ():
             # A list may show what is gone, so only what stays listed longer than its lag is taken: as of the
             # moment the list was read, since it may be the last one before an outage.
             old = read - self._listed_since.get(host, read) > self._lag * 2 + timedelta(seconds=2)
-            if old and rented.status != "failed" and self._unexpected(host, new, asked, read):
-                found[host] = MachineRecord(rented.rig, rented.yard, rented.spot, c.view.number, wall - rented.age_s)
-        for host in found:
-            log.info("%s was not expected: taken over", host)
+            if old and rented.status != "failed" and self._unexpected(host, asked):
+                adopt(host, rented.rig, rented.yard, rented.spot, wall - rented.age_s)
         return found
 
-    def _unexpected(self, host: str, new: dict[str, MachineRecord], asked: set[str], seen: timedelta) -> bool:
+    def _unexpected(self, host: str, asked: set[str]) -> bool:
+        # Names are not given twice: what was returned for sure is gone, whatever late reports and old lists show.
         c = self._c
-        returned = self._returned.get(host)
-        if returned is not None and seen - returned < self._lag * 3 + timedelta(seconds=5):
-            return False
-        return host not in c.machines and host not in new and host not in asked and not self._asking
+        return host not in self._returned and host not in c.machines and host not in asked and not self._asking
 
     # Returns.
 
@@ -223,7 +231,9 @@
             if gone:
                 log.info("returned %s", ", ".join(hosts))
                 self._gone.update(host for host in hosts if host in self._c.machines)
-                self._returned |= {host: self._c.context.now for host in hosts}
+                self._returned |= dict.fromkeys(hosts)
+                while len(self._returned) > RETURNED_KEPT:
+                    del self._returned[next(iter(self._returned))]
                 self._c.counters["returns"] += len(hosts)
 
         self._c.cloud.give_back(hosts, done)
@@ -263,4 +273,3 @@
             if host not in self._c.machines:
                 del self._listed_since[host]
                 self._missing.discard(host)
-        self._returned = {h: at for h, at in self._returned.items() if now - at < timedelta(minutes=5)}
--- a/src/ramptide/limits.py
+++ b/src/ramptide/limits.py
@@ -15,9 +15,10 @@
 class Rank(IntEnum):
     """Who goes first when tokens are short."""
 
-    COMMIT = 0
-    READ = 1
-    HOUSEKEEPING = 2
+    LEASE = 0
+    COMMIT = 1
+    READ = 2
+    HOUSEKEEPING = 3
 
 
 class Bucket:
@@ -36,6 +37,11 @@
         short = min(amount, self.burst) - self._level
         return ZERO if short <= 1e-9 else SECOND * (short / self.rate)
 
+    def wait_unbounded(self, now: timedelta, amount: float) -> timedelta:
+        """How long until `amount` has come in, even when it is more than the burst."""
+        self.wait(now, 0)
+        return SECOND * (max(amount - self._level, 0.0) / self.rate)
+
     def take(self, amount: float) -> None:
         self._level -= amount
 
@@ -73,6 +79,13 @@
         if self._writes is not None:
             self._writes.drain()
 
+    def backlog(self, rank: Rank) -> timedelta:
+        """How long a change that is asked for now would wait, by what waits already in its class and above."""
+        if self._writes is None:
+            return ZERO
+        ahead = sum(item.writes for one in Rank if one <= rank for item in self._queues[one])
+        return self._writes.wait_unbounded(self._context.now, ahead + 1)
+
     def _wait(self, item: _Waiting) -> timedelta:
         now = self._context.now
         wait = self._calls.wait(now, 1)
@@ -85,6 +98,7 @@
             self._timer.cancel()
             self._timer = None
         soonest: timedelta | None = None
+        writes_short = False
         for queue in self._queues.values():
             while queue:
                 item = queue[0]
@@ -93,7 +107,9 @@
                     item.refuse()
                     continue
                 wait = self._wait(item)
-                if wait > ZERO:
+                if wait > ZERO or writes_short and item.writes:
+                    # Changes of a lower class must not use up what a higher one saves for.
+                    writes_short = writes_short or bool(item.writes)
                     soonest = wait if soonest is None else min(soonest, wait)
                     break
                 queue.popleft()
--- a/src/ramptide/mirror.py
+++ b/src/ramptide/mirror.py
@@ -12,8 +12,9 @@
 log = logging.getLogger(__name__)
 
 BLOCK = timedelta(milliseconds=700)
-PAUSE = timedelta(milliseconds=80)
+PAUSE = timedelta(milliseconds=100)
 RETRY = timedelta(milliseconds=300)
+GATHER = timedelta(milliseconds=40)
 
 Changed = Callable[[str, Any, int], None]
 
@@ -41,6 +42,9 @@
         self._epoch = 0
         self.state = State.LOADING
         self.proof: timedelta | None = None
+        self._asking: list[Callable[[bool], None]] = []
+        self._reading = False
+        self._planned = False
 
     @property
     def lacking(self) -> bool:
@@ -53,6 +57,66 @@
     def stamp(self, path: str) -> int:
         return self._stamps.get(path, 0)
 
+    @property
+    def epoch(self) -> int:
+        """The copy shows every change up to this one."""
+        return self._epoch
+
+    def catch_up(self, done: Callable[[bool], None]) -> None:
+        """`done(True)` once the copy shows a state read begun after this call; False when it can't be read.
+
+        All who ask before the read leaves share it.
+        """
+        if self.lacking:
+            done(False)
+            return
+        self._asking.append(done)
+        self._plan_read()
+
+    def _plan_read(self) -> None:
+        if self._asking and not self._reading and not self._planned:
+            self._planned = True
+            self._store.context.after(GATHER, self._read_on)
+
+    def _read_on(self) -> None:
+        self._planned = False
+        self._reading = True
+        asked: list[Callable[[bool], None]] = []
+        sent = self._store.context.now
+
+        def sending() -> None:
+            nonlocal sent
+            sent = self._store.context.now
+            asked.extend(self._asking)
+            self._asking.clear()
+
+        def done(changes: wire.Changes | None, gone: bool) -> None:
+            self._reading = False
+            if not asked:
+                # The call was refused before it left.
+                sending()
+            if changes is not None:
+                self._apply(changes, sent)
+            for one in asked:
+                one(changes is not None)
+            self._plan_read()
+
+        self._store.changes(self._prefix, self._epoch, timedelta(0), done, sending)
+
+    def _apply(self, changes: wire.Changes, sent: timedelta) -> None:
+        for change in changes.news:
+            if change.stamp <= self._epoch:
+                # Two answers cross: what the newer one has shown, a drop above all, the older must not undo.
+                continue
+            if change.put is not None:
+                self._take(change.put, change.v, change.stamp)
+            elif change.drop is not None:
+                self._take(change.drop, None, change.stamp)
+        self._epoch = max(self._epoch, changes.epoch)
+        if self._dropped:
+            self._dropped = {path: stamp for path, stamp in self._dropped.items() if stamp > self._epoch}
+        self._become_current(max(sent, self.proof or sent))
+
     def applied(self, epoch: int, puts: list[tuple[str, Any, int | None]], drops: list[str]) -> None:
         """Takes over a transaction of our own that went through, ahead of the watch."""
         for path, value, _grant in puts:
@@ -113,14 +177,7 @@
                 self._become_lacking()
                 context.after(RETRY, self._load if gone else self._watch)
                 return
-            for change in changes.news:
-                if change.put is not None:
-                    self._take(change.put, change.v, change.stamp)
-                elif change.drop is not None:
-                    self._take(change.drop, None, change.stamp)
-            self._epoch = max(self._epoch, changes.epoch)
-            self._dropped = {path: stamp for path, stamp in self._dropped.items() if stamp > self._epoch}
-            self._become_current(sent)
+            self._apply(changes, sent)
             # A pause gathers what changes meanwhile: each opened watch counts against the request limit.
             spent = context.now - sent
             context.after(max(PAUSE - spent, timedelta(milliseconds=5)), self._watch)
--- a/src/ramptide/peers.py
+++ b/src/ramptide/peers.py
@@ -1,34 +1,43 @@
-"""What the controllers tell each other: full states, numbered, so that a lost or late message does no harm."""
+"""What the controllers tell each other: numbered changes since an acknowledged number, whole states on any doubt,
+so that lost, late and repeated messages do no harm."""
 
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
-from typing import Any
 
 import cbor2
 import msgspec
 
+from ramptide.agents import HostRow, WishRow
 from ramptide.context import CBOR, Context, Reply
+from ramptide.delta import Inbox
 
 log = logging.getLogger(__name__)
 
 PATH = "/sync"
 TIMEOUT = timedelta(seconds=1)
+EVERY = timedelta(seconds=0.5)
+ZERO = timedelta(0)
+#: Raised when messages change so that another version would misread them.
+WIRE = 2
 
 
 class Sync(msgspec.Struct, omit_defaults=True):
-    """One controller's whole state as the receiver needs it. A newer `seq` replaces all older ones."""
+    """What a controller tells another: of machines' states and wishes, all that changed since `base`, the number
+    up to which the receiver has said it took them (0: everything); of the rest, everything."""
 
     member: str
     inc: str
     view: int
     seq: int
     lacks: bool
+    wire: int = 0
+    base: int = 0
     latched: bool = False
     acks: dict[str, int] = {}
-    wishes: dict[str, list[list[Any]]] = {}
-    status: dict[str, Any] = {}
+    wishes: dict[str, list[WishRow] | None] = {}
+    status: dict[str, HostRow | None] = {}
     using: dict[str, tuple[float, float]] = {}
     asking: dict[str, tuple[float, float]] = {}
     waiting: list[tuple[str, int, float]] = []
@@ -44,12 +53,13 @@
 
 class Answer(msgspec.Struct):
     """The receiver's word on whether it lacks the state service too, in which view it acts, and the
-    newest that it knows of: it renews no lease under an older one any more."""
+    newest that it knows of: it renews no lease under an older one any more. `have`: how far it took our tables."""
 
     inc: str
     view: int
     lacks: bool
     newest: int
+    have: int = 0
 
 
 @dataclass(slots=True)
@@ -57,7 +67,10 @@
     name: str
     address: str
     busy: bool = False
-    order: tuple[int, str, int] = (0, "", 0)
+    inbox: Inbox = field(default_factory=Inbox)
+    taken: int = 0
+    due: timedelta = ZERO
+    heard: timedelta | None = None
     said: Sync | None = None
     agreed: timedelta | None = None
     answered: timedelta | None = None
@@ -66,27 +79,41 @@
 
 
 class Peers:
-    def __init__(self, context: Context, siblings: dict[str, str], receive: Callable[[Sync, Peer], None]) -> None:
+    def __init__(
+        self,
+        context: Context,
+        siblings: dict[str, str],
+        belongs: Callable[[Sync], bool],
+        receive: Callable[[Sync, Peer], None],
+    ) -> None:
         self._context = context
+        self._belongs = belongs
         self._receive = receive
         self.newest = 0
+        self._generation = 0
         self.all = {name: Peer(name, address) for name, address in siblings.items()}
 
     def new_view(self) -> None:
+        self._generation += 1
         for peer in self.all.values():
             peer.said = None
+            peer.inbox = Inbox()
+            peer.taken = 0
+            peer.due = ZERO
 
     def said(self, member: str) -> Sync | None:
         peer = self.all.get(member)
         return peer.said if peer is not None else None
 
+    def hurry(self, peer: Peer, within: timedelta) -> None:
+        """There is news for it."""
+        peer.due = min(peer.due, self._context.now + within)
+
     def send(self, peer: Peer, sync: Sync) -> None:
         """One message is under way to a peer at a time; the next one carries all that is newer."""
-        if peer.busy:
-            return
         peer.busy = True
-        sent = self._context.now
-        body = cbor2.dumps(msgspec.to_builtins(sync))
+        sent, generation = self._context.now, self._generation
+        peer.due = sent + EVERY
 
         def done(reply: Reply | None) -> None:
             peer.busy = False
@@ -98,12 +125,15 @@
                 log.error("broken answer of %s: %s", peer.name, error)
                 return
             peer.answered, peer.inc, peer.newest = self._context.now, answer.inc, answer.newest
+            if generation == self._generation:
+                # What it could not take for want of an earlier message is sent again from where it stands.
+                peer.taken = answer.have if answer.view == sync.view else 0
             # It lacks the state service now, and stands in our view or (just started) in none: nobody
             # there can have moved the view on between our asking and its answer.
             if sync.lacks and answer.lacks and answer.view in (0, sync.view):
                 peer.agreed = sent
 
-        self._context.call(peer.address, "POST", PATH, body, CBOR, TIMEOUT, done)
+        self._context.call(peer.address, "POST", PATH, encode(sync), CBOR, TIMEOUT, done)
 
     def agreement(self) -> timedelta | None:
         """The moment since which all others have said that they lack the state service as we do."""
@@ -124,22 +154,26 @@
         peer = self.all.get(member)
         return peer is not None and peer.answered is not None and peer.inc != inc
 
-    def take(self, body: bytes, view: int) -> bool:
-        """A message of another controller; False when it is none."""
+    def take(self, body: bytes, view: int) -> Peer | None:
+        """A message of another controller; None when it is none that we can read."""
         try:
             sync = msgspec.convert(cbor2.loads(body), Sync)
-        except (msgspec.ValidationError, cbor2.CBORDecodeError, ValueError) as error:
+        except (msgspec.ValidationError, cbor2.CBORDecodeError, ValueError, RecursionError) as error:
             log.error("broken message between controllers: %s", error)
-            return False
+            return None
         peer = self.all.get(sync.member)
         if peer is None:
-            return False
+            log.error("a message of %s, which the settings do not name", sync.member)
+            return None
+        if sync.wire != WIRE:
+            log.error("%s speaks version %d between controllers, we speak %d", sync.member, sync.wire, WIRE)
+            return None
         self.newest = max(self.newest, sync.view)
-        order = (sync.view, sync.inc, sync.seq)
-        if peer.order[:2] == order[:2] and sync.seq <= peer.order[2] or sync.view < peer.order[0]:
-            return True
-        if sync.view == view and view:
-            peer.order = order
-            peer.said = sync
+        if sync.view == view and view and self._belongs(sync) and peer.inbox.takes(sync.base, sync.seq):
+            peer.said, peer.heard = sync, self._context.now
             self._receive(sync, peer)
-        return True
+        return peer
+
+
+def encode(sync: Sync) -> bytes:
+    return cbor2.dumps(msgspec.to_builtins(sync))
--- a/src/ramptide/placement.py
+++ b/src/ramptide/placement.py
@@ -1,8 +1,9 @@
 """What may run where, and which machine a task takes. Pure: rooms and jobs in, a choice out."""
 
 from collections import Counter
-from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass
+from typing import Any
 
 from ramptide import wire
 
@@ -27,7 +28,6 @@
     idle: bool = False
     quick: bool = False
     kept: bool = False
-    shunned: frozenset[str] = field(default_factory=frozenset)
 
     def fits(self, run: wire.Run) -> int:
         """How many tasks of the job this room takes."""
@@ -82,13 +82,14 @@
     return run.pieces
 
 
-def choose(run: wire.Run, rooms: Iterable[Room], placed: Mapping[str, int], any_room: bool = False) -> Room | None:
-    """The machine for the next task of a job, or None when none has room. `any_room`: even what is kept."""
-    usable = [
+def usable(run: wire.Run, rooms: Iterable[Room], placed: Mapping[str, int], any_room: bool = False) -> list[Room]:
+    """The rooms that may take a task of the job now. `any_room`: even what is kept for services."""
+    found = [
         room
         for room in rooms
-        if may_use(run, room.flavor, room.yard, room.spot)
-        and run.ref not in room.shunned
+        if room.cores + EPSILON >= run.cores
+        and room.ram_gb + EPSILON >= run.ram_gb
+        and may_use(run, room.flavor, room.yard, room.spot)
         and (any_room or not room.kept or run.shape == wire.SERVICE)
         and room.fits(run)
         and zone_room(run, room.yard, placed)
@@ -96,14 +97,39 @@
     if run.one_zone and not any(placed.values()):
         # The first task decides the zone of all: it goes where most of them fit.
         capacity: Counter[str] = Counter()
-        for room in usable:
+        for room in found:
             capacity[room.yard] += room.fits(run)
         if capacity:
-            yard = max(sorted(capacity), key=lambda name: capacity[name])
-            usable = [room for room in usable if room.yard == yard]
-    if not usable:
-        return None
-    return min(usable, key=lambda room: _preference(run, room))
+            best = min(capacity, key=lambda yard: (-min(capacity[yard], run.pieces), yard))
+            found = [room for room in found if room.yard == best]
+    return found
+
+
+def choose(run: wire.Run, rooms: Iterable[Room], placed: Mapping[str, int], any_room: bool = False) -> Room | None:
+    """The machine for the next task of a job, or None when none has room."""
+    return min(usable(run, rooms, placed, any_room), key=lambda room: _preference(run, room), default=None)
+
+
+def choose_many(
+    run: wire.Run, rooms: Iterable[Room], placed: Mapping[str, int], tasks: int, any_room: bool = False
+) -> Iterator[tuple[Room, int]]:
+    """Machines for many tasks of an array, each filled before the next: one walk of the rooms for all tasks."""
+    here = Counter(placed)
+    for room in sorted(usable(run, rooms, placed, any_room), key=lambda one: _preference(run, one)):
+        count = min(room.fits(run), tasks, zone_room(run, room.yard, here))
+        if count > 0:
+            here[room.yard] += count
+            tasks -= count
+            yield room, count
+        if tasks <= 0:
+            return
+
+
+def needs(run: wire.Run) -> tuple[Any, ...]:
+    """What decides where a task may run: where one job of these needs finds no room, no other does."""
+    return (
+        run.shape, run.cores, run.cards, run.ram_gb, run.spot, run.yard, tuple(run.rigs) if run.rigs else None
+    )  # fmt: skip
 
 
 def _preference(run: wire.Run, room: Room) -> tuple[bool | float | str, ...]:
@@ -127,7 +153,7 @@
     for room in rooms:
         if found >= tasks:
             break
-        if not may_use(run, room.flavor, room.yard, room.spot) or run.ref in room.shunned:
+        if not may_use(run, room.flavor, room.yard, room.spot):
             continue
         if room.kept and run.shape != wire.SERVICE:
             continue
--- a/src/ramptide/preemption.py
+++ b/src/ramptide/preemption.py
@@ -43,30 +43,27 @@
     return within and beyond
 
 
-def choose_victims(
+def victims(
     run: wire.Run,
-    rooms: Iterable[Room],
-    tasks: Mapping[str, list[OnMachine]],
+    room: Room,
+    tasks: Iterable[OnMachine],
     claimable: Callable[[wire.Run], bool],
     placed: Mapping[str, int],
-) -> tuple[Room, list[OnMachine]] | None:
-    """The machine where the least work is lost by making room for one task of the job, and who goes there."""
-    best: tuple[float, Room, list[OnMachine]] | None = None
-    for room in rooms:
-        if not may_use(run, room.flavor, room.yard, room.spot) or run.ref in room.shunned:
-            continue
-        if room.kept and run.shape != wire.SERVICE or not zone_room(run, room.yard, placed):
-            continue
-        trial, lost, going = replace(room), 0.0, []
-        for task in sorted((t for t in tasks.get(room.host, []) if claimable(t.run)), key=_loss):
-            if trial.fits(run):
-                break
-            trial.take(task.run, -1)
-            going.append(task)
-            lost += _loss(task)[0]
-        if going and trial.fits(run) and (best is None or lost < best[0]):
-            best = (lost, room, going)
-    return None if best is None else best[1:]
+) -> tuple[float, list[OnMachine]] | None:
+    """Who goes on this machine to make room for one task of the job, and what is lost by it; None when that
+    can't be done, or need not."""
+    if not may_use(run, room.flavor, room.yard, room.spot):
+        return None
+    if room.kept and run.shape != wire.SERVICE or not zone_room(run, room.yard, placed):
+        return None
+    trial, lost, going = replace(room), 0.0, []
+    for task in sorted((t for t in tasks if claimable(t.run)), key=_loss):
+        if trial.fits(run):
+            break
+        trial.take(task.run, -1)
+        going.append(task)
+        lost += _loss(task)[0]
+    return (lost, going) if going and trial.fits(run) else None
 
 
 def _loss(task: OnMachine) -> tuple[float, str, int]:
--- a/src/ramptide/records.py
+++ b/src/ramptide/records.py
@@ -1,6 +1,7 @@
 """The durable records: jobs, machines and rentals, and how they are written in the state service."""
 
 import base64
+from dataclasses import dataclass
 from datetime import UTC, datetime
 from typing import Any
 
@@ -10,15 +11,13 @@
 
 JOB = "live/job/"
 ENDED = "ended/"
-MACHINE = "live/machine/"
-HIRE = "live/hire/"
+RENTAL = "live/rental/"
 FLAVORS = "live/flavors"
 SETTINGS = "live/settings"
 
 WINDOW = 8192
 
 
-
 class Progress:
     """The set of done tasks, compact: all below `low`, and a bitmap of what is done above it.
 
@@ -87,8 +86,10 @@
     done: int
 
 
-class MachineRecord(msgspec.Struct):
-    """A rented machine. `born` is the view that recorded it: none older can have started anything on it.
+@dataclass(frozen=True, slots=True)
+class MachineRecord:
+    """A rented machine, as its rental's record has it. `born` is the view that recorded it: none older can have
+    started anything on it.
 
     `opened` once its worker has reported: before this is recorded nobody starts anything there, so a
     change of view need not wait for machines that boot.
@@ -101,19 +102,39 @@
     at: float
     leaving: str | None = None
     opened: bool = False
+    rental: str = ""
 
     def untouched(self, view: int) -> bool:
         """No earlier view can have started anything on it."""
         return self.born == view or not self.opened
 
 
-class HireRecord(msgspec.Struct):
-    """A rental that is asked for under this unique name, written before the cloud is asked."""
+class HostRecord(msgspec.Struct, array_like=True, frozen=True):
+    """What changes of a machine while it is rented."""
+
+    opened: bool = False
+    leaving: str | None = None
+
+
+class RentalRecord(msgspec.Struct, frozen=True):
+    """A rental under its unique name: written without `hosts` before the cloud is asked, with them once it has
+    answered. The machines of one rental share a record, so that hundreds of them cost few changes."""
 
     flavor: str
     yard: str
     spot: bool
     at: float
+    count: int = 1
+    born: int = 0
+    hosts: dict[str, HostRecord] | None = None
+
+    def machines(self, name: str) -> dict[str, MachineRecord]:
+        return {
+            host: MachineRecord(
+                self.flavor, self.yard, self.spot, self.born, self.at, one.leaving, one.opened, name
+            )
+            for host, one in (self.hosts or {}).items()
+        }
 
 
 def to_value(record: msgspec.Struct) -> Any:
--- /dev/null
+++ b/src/ramptide/results.py
@@ -0,0 +1,75 @@
+"""What was done, written to the state service: jobs that are complete at once, the progress of others now and then."""
+
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from ramptide import wire
+from ramptide.commits import Commits
+from ramptide.jobs import Home, Work
+from ramptide.limits import Rank
+from ramptide.records import ENDED, JOB, EndRecord, to_value
+from ramptide.store import Outcome, Txn
+
+if TYPE_CHECKING:
+    from ramptide.app import Controller
+
+FLUSH_EVERY = timedelta(seconds=4)
+AGAIN = timedelta(milliseconds=500)
+
+
+class Results:
+    """Ended tasks stay on their machines until the state service has their results."""
+
+    def __init__(self, controller: "Controller") -> None:
+        self._c = controller
+        self._progress = Commits(controller.store, controller.common, Rank.HOUSEKEEPING)
+        self._next: dict[str, timedelta] = {}
+        self._flying: set[str] = set()
+
+    def forget(self, ref: str) -> None:
+        self._next.pop(ref, None)
+
+    def flush(self, home: Home, now: timedelta) -> None:
+        if self._c.mirror.lacking:
+            return
+        for ref in list(home.results):
+            work = home.works.get(ref)
+            if work is None or not work.dirty:
+                home.results.discard(ref)
+            elif not work.frozen and ref not in self._flying:
+                if work.complete and now >= self._next.get(ref, now):
+                    self._finish(work, now)
+                elif not work.complete and now >= self._next.setdefault(ref, now + FLUSH_EVERY):
+                    self._record(work, now)
+
+    def _finish(self, work: Work, now: timedelta) -> None:
+        job = work.job
+        key, end = JOB + job.ref, EndRecord(wire.DONE, job.run.pieces, job.run.pieces)
+        txn = Txn(when={key: job.stamp}, puts=[(ENDED + job.ref, to_value(end), None)], drops=[key])
+
+        def done(outcome: Outcome) -> None:
+            self._landed(job.ref, outcome, txn)
+            if outcome.epoch is not None:
+                self._c.desk.ended(job.ref, end)
+
+        self._fly(job.ref, now + AGAIN)
+        self._c.commits.add(txn, done)
+
+    def _record(self, work: Work, now: timedelta) -> None:
+        job = work.job
+        key = JOB + job.ref
+        record = msgspec.structs.replace(job.record, done=work.done.encode())
+        txn = Txn(when={key: job.stamp}, puts=[(key, to_value(record), None)])
+        self._fly(job.ref, now + FLUSH_EVERY)
+        self._progress.add(txn, lambda outcome: self._landed(job.ref, outcome, txn))
+
+    def _fly(self, ref: str, again: timedelta) -> None:
+        self._flying.add(ref)
+        self._next[ref] = again
+
+    def _landed(self, ref: str, outcome: Outcome, txn: Txn) -> None:
+        self._flying.discard(ref)
+        if outcome.epoch is not None:
+            self._c.mirror.applied(outcome.epoch, txn.puts, txn.drops)
--- a/src/ramptide/service.py
+++ b/src/ramptide/service.py
@@ -19,6 +19,8 @@
 IDLE_USERS = timedelta(seconds=60)
 IDLE_PEERS = timedelta(seconds=60)
 OWN_FILES = 24
+#: The whole state of a part of several hundred machines is well below this.
+PEER_BODY = 8 * 1024 * 1024
 
 
 class LoopContext:
@@ -58,7 +60,7 @@
         self.controller = Controller(context, settings, secrets.token_hex(6))
         self.admin = Admin(self.controller)
         self.users = Server(self.loop, settings.listen, self._users, room * 3 // 5, IDLE_USERS)
-        self.peers = Server(self.loop, settings.peer_listen, self._peers, room // 5, IDLE_PEERS)
+        self.peers = Server(self.loop, settings.peer_listen, self._peers, room // 5, IDLE_PEERS, PEER_BODY)
 
     def run(self) -> None:
         self.controller.start()
@@ -77,7 +79,7 @@
                 self._not_allowed(exchange, "POST")
                 return
             c.counters["reports"] += 1
-            c.beat(request.body, answer)
+            c.reports.beat(request.body, answer)
         elif path == wire.HEALTH:
             if request.method not in ("GET", "HEAD"):
                 self._not_allowed(exchange, "GET, HEAD")
@@ -122,7 +124,7 @@
             if request.method != "POST":
                 self._not_allowed(exchange, "POST")
                 return
-            body = self.controller.sync(request.body)
+            body = self.controller.syncing.take(request.body)
             if body is None:
                 exchange.respond(400, error("not a message of a controller"))
             else:
--- a/src/ramptide/settings.py
+++ b/src/ramptide/settings.py
@@ -54,7 +54,8 @@
 
 
 BOUNDS: dict[str, Bound] = {
-    "step": Bound(0.2, 600, "seconds between two steps of the leader; a step rents at most one machine"),
+    "step": Bound(0.2, 600, "seconds between two steps of the leader"),
+    "step_most": Bound(1, 50, "machines that a step rents at most, when the counts ask for so many"),
     "window": Bound(0, 3600, "seconds that a count must stay high before machines are rented"),
     "waiting_high": Bound(1, 1e6, "waiting tasks without room that count as high"),
     "long_wait": Bound(0, 3600, "seconds after which a waiting task is long-waiting"),
@@ -77,6 +78,7 @@
     """The operators' own settings, kept in the state service and changed through the administration API."""
 
     step: timedelta = timedelta(seconds=0.5)
+    step_most: int = 10
     window: timedelta = timedelta(seconds=0.5)
     waiting_high: int = 1
     long_wait: timedelta = timedelta(seconds=10)
--- /dev/null
+++ b/src/ramptide/starts.py
@@ -0,0 +1,419 @@
+"""What is started where: the placement round, who gives way, what goes to the leader, what the leader counts."""
+
+import heapq
+import logging
+import math
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+from datetime import timedelta
+from functools import partial
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from ramptide import wire
+from ramptide.allowances import NO_LIMIT, NOTHING, Amounts, add_amounts, limited, limits_of
+from ramptide.fleet import Demand, Machine
+from ramptide.floor import Host
+from ramptide.jobs import Home, Work, urgency
+from ramptide.membership import View
+from ramptide.placement import EPSILON, Room, choose, choose_many, fill, needs
+from ramptide.preemption import OnMachine, may_claim, victims
+from ramptide.records import JOB, Handover, to_value
+from ramptide.store import Outcome, Txn
+
+if TYPE_CHECKING:
+    from ramptide.app import Controller
+
+log = logging.getLogger(__name__)
+
+ZERO = timedelta(0)
+MANY = 10**9
+PREEMPT_EVERY = timedelta(milliseconds=500)
+EVICTION_KEPT = timedelta(seconds=5)
+EVICTIONS_AT_ONCE = 40
+
+
+@dataclass(slots=True)
+class Eviction:
+    """A task that was told to give way to a job."""
+
+    claimant: str
+    at: timedelta
+    grace: float
+
+
+class Starter:
+    def __init__(self, controller: "Controller") -> None:
+        self._c = controller
+        self.evictions: dict[tuple[str, int, int], Eviction] = {}
+        self._preempted_at = ZERO
+        self._moving = 0
+
+    def new_view(self) -> None:
+        self.evictions.clear()
+        self._moving = 0
+
+    # Room.
+
+    def rooms(self, ours_only: bool = False) -> list[Room]:
+        """What is free on machines that take tasks now, and whose owners are heard."""
+        c = self._c
+        if ours_only:
+            return list(c.floor.free(c.part.agents)) if c.part is not None else []
+        fresh = c.fresh_members()
+        return [room for room in c.floor.free() if c.owner(room.host) in fresh]
+
+    def home_for(self, run: wire.Run) -> str:
+        """The part with most room, or the leader when the job is too large for any."""
+        c = self._c
+        assert c.view is not None
+        c.floor.refresh()
+        parts: dict[str, list[Room]] = {}
+        for room in self.rooms():
+            if room.cores + EPSILON >= run.cores:
+                parts.setdefault(c.owner(room.host), []).append(room)
+        free = {member: sum(room.cores for room in rooms) for member, rooms in parts.items()}
+        for member in sorted(free, key=lambda name: (-free[name], name)):
+            rooms = [replace(room) for room in parts[member]]
+            if fill(run, run.pieces, rooms, {}) == run.pieces:
+                return member
+        return c.view.leader
+
+    # Starts.
+
+    def place(self, home: Home, now: timedelta) -> None:
+        """Starts what finds room, the most urgent first. Where one job of some needs found none, no other of the
+        same needs is tried in this round."""
+        c = self._c
+        works = [w for w in home.works.values() if w.waiting > 0 and not w.frozen and w.hold <= now and c.ready(w)]
+        if not works:
+            return
+        c.floor.refresh()
+        least = min(work.job.run.cores for work in works)
+        rooms = [room for room in self.rooms(not c.membership.leading) if room.cores + EPSILON >= least]
+        wall = c.context.wall()
+        works.sort(key=lambda work: urgency(work.job, wall, c.prompt))
+        using = home.held()
+        hopeless: set[tuple[object, ...]] = set()
+        for work in works:
+            any_room = work.waiting_since is not None and now - work.waiting_since > c.tuning.long_wait
+            key = (needs(work.job.run), any_room)
+            if key not in hopeless:
+                left = self._place_work(home, work, rooms, using, any_room, now)
+                if left and not work.shunned and not work.job.run.one_zone and not work.job.run.spread:
+                    hopeless.add(key)
+            if work.waiting == 0:
+                work.waiting_since = None
+            elif work.waiting_since is None:
+                work.waiting_since = now
+
+    def _place_work(
+        self, home: Home, work: Work, rooms: list[Room], using: dict[str, Amounts], any_room: bool, now: timedelta
+    ) -> bool:
+        """Starts what it can of one job; True when that failed for want of room."""
+        run = work.job.run
+        if work.shunned:
+            work.shunned = {host: until for host, until in work.shunned.items() if until > now}
+            rooms = [room for room in rooms if room.host not in work.shunned]
+        allowed = self.headroom(run, using.get(run.team, NOTHING), self._c.grants.get(run.team, NOTHING))
+        before, short = work.waiting, False
+        if run.shape == wire.SERVICE:
+            while allowed > 0 and work.next_task() is not None:
+                room = choose(run, rooms, work.yards, any_room)
+                if room is None:
+                    short = True
+                    break
+                self._start(home, work, room, now)
+                allowed -= 1
+        else:
+            want = min(allowed, work.waiting)
+            for room, count in choose_many(run, rooms, work.yards, want, any_room) if want > 0 else ():
+                for _ in range(count):
+                    if work.next_task() is None:
+                        break
+                    self._start(home, work, room, now)
+            short = before - work.waiting < want
+        started = before - work.waiting
+        if started:
+            add_amounts(using, run.team, run.cores * started, run.cards * started)
+            self._c.counters["starts"] += started
+        return short
+
+    def _start(self, home: Home, work: Work, room: Room, now: timedelta) -> None:
+        task = work.next_task()
+        assert task is not None
+        home.start(work, task, room.host, room.yard, now)
+        room.take(work.job.run)
+        room.idle = False
+        self._c.floor.touch(room.host)
+
+    def headroom(self, run: wire.Run, using: Amounts, most: Amounts) -> int:
+        """How many more tasks the team may run within `most`."""
+        if not limited(self._c.teams.get(run.team)):
+            return MANY
+        counts = [
+            math.floor((limit - used + 1e-6) / each)
+            for limit, used, each in ((most[0], using[0], run.cores), (most[1], using[1], run.cards))
+            if each > 0 and limit != NO_LIMIT
+        ]
+        return max(0, min(counts)) if counts else MANY
+
+    def clear_machines(self, home: Home) -> None:
+        """Tasks leave machines that are drained or about to be taken."""
+        c = self._c
+        for name in list(home.attempts):
+            record, host = c.machines.get(name), c.floor.hosts.get(name)
+            draining = record is not None and record.leaving not in (None, "idle")
+            notice = host.notice if host is not None else None
+            if not draining and notice is None:
+                continue
+            for attempt in list(home.attempts[name].values()):
+                saves = attempt.run.mark_every_s > 0
+                # A task that cannot save may still finish before the machine goes.
+                if draining or saves or attempt.run.shape == wire.SERVICE:
+                    home.stop(attempt, timedelta(seconds=attempt.run.mark_cost_s if saves else 0))
+
+    # Who gives way.
+
+    def preempt(self, home: Home, now: timedelta) -> None:
+        """The leader makes room for jobs that may claim it: by rank, or within their team's guarantee.
+
+        Only jobs that found no room for `preempt_after` claim any, most urgent first; the homes of the
+        tasks that give way are told to stop them.
+        """
+        c = self._c
+        if self.evictions:
+            self.evictions = {key: one for key, one in self.evictions.items() if now - one.at < EVICTION_KEPT}
+        if not c.membership.leading or not c.latched or now - self._preempted_at < PREEMPT_EVERY:
+            return
+        self._preempted_at = now
+        claims = [
+            work
+            for work in home.works.values()
+            if work.waiting_since is not None
+            and work.waiting > 0
+            and now - work.waiting_since >= c.tuning.preempt_after
+            and work.hold <= now
+            and c.ready(work)
+        ]
+        if not claims:
+            return
+        wall = c.context.wall()
+        c.floor.refresh()
+        rooms = {room.host: replace(room) for room in self.rooms()}
+        tasks = {host: self._stoppable(host) for host in rooms}
+        using = self.team_use()
+        held = home.held()
+        hopeless: set[tuple[object, ...]] = set()
+        for work in sorted(claims, key=lambda one: urgency(one.job, wall, c.prompt)):
+            run = work.job.run
+            key = (needs(run), run.rank, run.team)
+            if key in hopeless or len(self.evictions) >= EVICTIONS_AT_ONCE:
+                continue
+            promised = sum(one.claimant == run.ref for one in self.evictions.values())
+            left = min(
+                work.waiting - promised,
+                self.headroom(run, held.get(run.team, NOTHING), c.grants.get(run.team, NOTHING)),
+            )
+            if left > 0 and not self._claim(work, left, rooms, tasks, using, now):
+                hopeless.add(key)
+
+    def _claim(
+        self,
+        work: Work,
+        left: int,
+        rooms: dict[str, Room],
+        tasks: dict[str, list[OnMachine]],
+        using: dict[str, Amounts],
+        now: timedelta,
+    ) -> bool:
+        """Makes room for `left` tasks of a job, where the least is lost first; False when some found none."""
+        run = work.job.run
+        claimable = partial(may_claim, run, using=using, guarantees=self._c.guarantees)
+        heap = []
+        for host, room in rooms.items():
+            found = victims(run, room, tasks[host], claimable, work.yards)
+            if found is not None:
+                heap.append((found[0], host))
+        heapq.heapify(heap)
+        while left > 0 and heap and len(self.evictions) < EVICTIONS_AT_ONCE:
+            _, host = heapq.heappop(heap)
+            # What went before may have changed who may be stopped, so it is looked at again.
+            found = victims(run, rooms[host], tasks[host], claimable, work.yards)
+            if found is None:
+                continue
+            self._stop_for(run, rooms[host], found[1], tasks[host], using, now)
+            left -= 1
+            found = victims(run, rooms[host], tasks[host], claimable, work.yards)
+            if found is not None:
+                heapq.heappush(heap, (found[0], host))
+        return left <= 0
+
+    def _stop_for(
+        self,
+        run: wire.Run,
+        room: Room,
+        going: list[OnMachine],
+        tasks: list[OnMachine],
+        using: dict[str, Amounts],
+        now: timedelta,
+    ) -> None:
+        for victim in going:
+            log.debug("%s/%d gives way to %s on %s", victim.run.ref, victim.task, run.ref, room.host)
+            grace = victim.run.mark_cost_s if victim.run.mark_every_s > 0 else 0.0
+            self.evictions[victim.key] = Eviction(run.ref, now, grace)
+            self.evict(*victim.key, timedelta(seconds=grace))
+            tasks.remove(victim)
+            room.take(victim.run, -1)
+            add_amounts(using, victim.run.team, -victim.run.cores, -victim.run.cards)
+        room.take(run)
+        add_amounts(using, run.team, run.cores, run.cards)
+        self._c.counters["preemptions"] += len(going)
+
+    def evict(self, ref: str, task: int, number: int, grace: timedelta) -> None:
+        """An attempt of ours gives way, by the leader's word."""
+        home = self._c.home
+        assert home is not None
+        work = home.works.get(ref)
+        attempt = work.placed.get(task) if work is not None else None
+        if work is not None and attempt is not None and attempt.number == number:
+            # The room is for another job: this one looks elsewhere for a while.
+            work.shunned[attempt.host] = self._c.context.now + EVICTION_KEPT
+            home.stop(attempt, grace)
+
+    def _stoppable(self, name: str) -> list[OnMachine]:
+        found = []
+        for ref, task, number, phase, _cause in self._c.floor.hosts[name].tasks:
+            job = self._c.jobs.get(ref)
+            going = (ref, task, number) in self.evictions
+            if job is not None and phase in (wire.FETCHING, wire.RUNNING) and not going:
+                found.append(OnMachine(job.run, task, number))
+        return found
+
+    def team_use(self) -> dict[str, Amounts]:
+        """What all homes' attempts hold, by team."""
+        c = self._c
+        assert c.home is not None and c.view is not None
+        using = c.home.using()
+        for member in c.view.members:
+            said = c.peers.said(member)
+            for team, (cores, cards) in said.using.items() if said is not None else ():
+                add_amounts(using, team, cores, cards)
+        return using
+
+    # What goes to the leader.
+
+    def hand_over(self, home: Home, now: timedelta) -> None:
+        """A job whose part has no room for it any more goes to the leader, who may use all the others'."""
+        c = self._c
+        view = c.view
+        assert view is not None
+        if c.membership.leading or view.leader not in c.fresh_members():
+            return
+        for work in home.works.values():
+            if self._moving >= c.store.limits.txn_ops:
+                return
+            waited = work.waiting_since is not None and now - work.waiting_since > c.tuning.hand_over
+            if waited and not work.frozen and work.hold <= now and c.ready(work):
+                self._hand_over_job(work, view, home)
+
+    def _hand_over_job(self, work: Work, view: View, home: Home) -> None:
+        c = self._c
+        work.frozen = True
+        self._moving += 1
+        record = msgspec.structs.replace(
+            work.job.record, home=view.leader, hand=Handover(view.number, c.member, home.seq + 1)
+        )
+        key = JOB + work.job.ref
+        txn = Txn(when={key: work.job.stamp}, puts=[(key, to_value(record), None)])
+
+        def done(outcome: Outcome) -> None:
+            if c.view is view:
+                self._moving -= 1
+            if outcome.epoch is not None:
+                log.debug("%s goes to %s", work.job.ref, view.leader)
+                c.mirror.applied(outcome.epoch, txn.puts, txn.drops)
+            elif outcome.failed is not None or not outcome.sent:
+                work.frozen = False
+            # Otherwise nobody knows: it stays frozen until the watch or the next view tells.
+
+        c.commits.add(txn, done)
+
+    # What the leader counts.
+
+    def waiting_rows(self, home: Home, now: timedelta) -> list[tuple[str, int, float]]:
+        return [
+            (w.job.ref, w.waiting, (now - w.waiting_since).total_seconds() if w.waiting_since is not None else 0.0)
+            for w in home.works.values()
+            if w.waiting > 0 and w.hold <= now
+        ]
+
+    def asking(self, home: Home) -> dict[str, Amounts]:
+        """What our waiting tasks would use of each team's limit."""
+        asking: dict[str, Amounts] = {}
+        for work in home.works.values():
+            if work.waiting > 0 and work.hold <= self._c.context.now:
+                run = work.job.run
+                add_amounts(asking, run.team, run.cores * work.waiting, run.cards * work.waiting)
+        return asking
+
+    def demands(self) -> list[Demand]:
+        """Waiting tasks of all homes that their team's limit lets run now, the most urgent first."""
+        c = self._c
+        home = c.home
+        assert home is not None and c.view is not None
+        now, wall = c.context.now, c.context.wall()
+        using = self.team_use()
+        rows: list[tuple[tuple[str, int, float], Counter[str]]] = [
+            (row, home.works[row[0]].yards) for row in self.waiting_rows(home, now)
+        ]
+        for member in c.view.members:
+            said = c.peers.said(member)
+            if said is not None:
+                # A job that was handed over to us may still be in its old home's last message.
+                rows += [(row, Counter()) for row in said.waiting if row[0] not in home.works]
+        found = [(c.jobs[row[0]], row, placed) for row, placed in rows if row[0] in c.jobs]
+        found.sort(key=lambda one: urgency(one[0], wall, c.prompt))
+        demands = []
+        for job, row, placed in found:
+            run = job.run
+            owner = c.teams.get(run.team)
+            most = limits_of(owner) if owner is not None else NOTHING
+            tasks = min(row[1], self.headroom(run, using.get(run.team, NOTHING), most))
+            if tasks > 0:
+                add_amounts(using, run.team, run.cores * tasks, run.cards * tasks)
+                demands.append(Demand(run, tasks, timedelta(seconds=row[2]), Counter(placed)))
+        return demands
+
+    def machines_known(self, listed: dict[str, str], missing: Iterable[str]) -> list[Machine]:
+        c = self._c
+        now, wall = c.context.now, c.context.wall().timestamp()
+        c.floor.refresh()
+        rooms = {room.host: room for room in self.rooms()}
+        gone = set(missing)
+        machines = []
+        for name, record in c.machines.items():
+            host = c.floor.hosts.get(name) or Host()
+            room = rooms.get(name)
+            machines.append(
+                Machine(
+                    host=name,
+                    record=record,
+                    flavor=c.flavors.get(record.flavor),
+                    up=host.up,
+                    age=timedelta(seconds=max(0.0, wall - record.at)),
+                    # Only its owner can tell that it is silent: not to hear the owner says nothing of the machine.
+                    silent=now - max(host.heard, c.view_at) if host.known and host.quiet else ZERO,
+                    notice=None if host.notice is None else host.notice - now,
+                    failing=host.failing,
+                    tasks=host.busy + (len(c.home.attempts.get(name, ())) if c.home is not None else 0),
+                    room=replace(room) if room is not None else None,
+                    drained=host.known and host.leaving and not host.busy,
+                    listed=listed.get(name),
+                    known=name not in gone,
+                    deaf=now - host.deaf_since if host.deaf_since is not None else ZERO,
+                )
+            )
+        return machines
--- a/src/ramptide/store.py
+++ b/src/ramptide/store.py
@@ -14,6 +14,7 @@
 log = logging.getLogger(__name__)
 
 PATIENCE = {
+    Rank.LEASE: timedelta(seconds=4),
     Rank.COMMIT: timedelta(seconds=4),
     Rank.READ: timedelta(seconds=1.2),
     Rank.HOUSEKEEPING: timedelta(seconds=5),
@@ -49,8 +50,10 @@
         self.context = context
         self.address = address
         self.limits = limits
+        # The leader writes the fleet record besides its share of the jobs, so it counts as two.
         calls = limits.rps * 0.95 / nodes
-        writes = limits.write_rps * 0.95 / nodes
+        writes = limits.write_rps * 0.95 / (nodes + 1)
+        self.writes = writes
         self.gate = Gate(context, Bucket(calls, calls), Bucket(writes, writes))
 
     def _call(
@@ -116,7 +119,7 @@
                 else:
                     done(rows, first[0])
 
-            self._call(Rank.COMMIT, "GET", f"{wire.KV}?{urlencode(query)}", b"", answered)
+            self._call(Rank.LEASE, "GET", f"{wire.KV}?{urlencode(query)}", b"", answered)
 
         page(None)
 
@@ -146,7 +149,7 @@
         def answered(reply: Reply | None) -> None:
             done(_read(wire.decode_grant, reply.body) if reply is not None and reply.status == 200 else None)
 
-        self._call(Rank.COMMIT, "POST", wire.GRANTS, wire.encode_grant(life), answered)
+        self._call(Rank.LEASE, "POST", wire.GRANTS, wire.encode_grant(life), answered)
 
     def touch(self, grant: int, done: Callable[[bool | None], None]) -> None:
         """`done(alive)`: None when it is not known."""
@@ -155,12 +158,20 @@
             status = reply.status if reply is not None else 0
             done(True if status == 200 else False if status == 404 else None)
 
-        self._call(Rank.COMMIT, "POST", f"{wire.GRANTS}/{grant}/touch", b"", answered, timeout=timedelta(seconds=1))
+        self._call(Rank.LEASE, "POST", f"{wire.GRANTS}/{grant}/touch", b"", answered, timeout=timedelta(seconds=1))
 
     def changes(
-        self, prefix: str, since: int, block: timedelta, done: Callable[[wire.Changes | None, bool], None]
+        self,
+        prefix: str,
+        since: int,
+        block: timedelta,
+        done: Callable[[wire.Changes | None, bool], None],
+        sending: Callable[[], None] | None = None,
     ) -> None:
-        """`done(changes, gone)`: gone when `since` is too old and the keys must be read again."""
+        """`done(changes, gone)`: gone when `since` is too old and the keys must be read again.
+
+        Without a `block` it is a read of all that has changed, and waits its turn among the reads.
+        """
         query = urlencode({"prefix": prefix, "since": since, "blockMs": int(block / timedelta(milliseconds=1))})
 
         def answered(reply: Reply | None) -> None:
@@ -169,9 +180,9 @@
             else:
                 done(None, reply is not None and reply.status == 410)
 
-        self._call(
-            Rank.COMMIT, "GET", f"{wire.CHANGES}?{query}", b"", answered, timeout=block + timedelta(seconds=1)
-        )
+        rank = Rank.LEASE if block else Rank.READ
+        timeout = block + timedelta(seconds=1)
+        self._call(rank, "GET", f"{wire.CHANGES}?{query}", b"", answered, timeout=timeout, sending=sending)
 
 
 def _read(decode: Callable[[bytes], Any], body: bytes) -> Any:
--- /dev/null
+++ b/src/ramptide/syncing.py
@@ -0,0 +1,274 @@
+"""What we tell the other controllers and what we take from them: machines' rows, wishes, acknowledgements, grants."""
+
+import logging
+from collections import deque
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+import cbor2
+import msgspec
+
+from ramptide.agents import Agent, HostRow, Part, TaskRow, WishRow
+from ramptide.allowances import Allowances, Grants, add_amounts
+from ramptide.delta import Ledger
+from ramptide.jobs import Home
+from ramptide.membership import View
+from ramptide.peers import WIRE, Answer, Peer, Sync
+
+if TYPE_CHECKING:
+    from ramptide.app import Controller
+
+log = logging.getLogger(__name__)
+
+ZERO = timedelta(0)
+#: How soon a peer hears what it waits for, what the leader counts by, and what it should know in time.
+AT_ONCE = ZERO
+SOON = timedelta(milliseconds=150)
+WITHDRAWN_KEPT = timedelta(seconds=60)
+PRUNE_EVERY = 1000
+
+
+class Syncing:
+    """The tables that go to the others, and how theirs are taken."""
+
+    def __init__(self, controller: "Controller") -> None:
+        self._c = controller
+        self.allowances: Allowances | None = None
+        self.grants_ack = 0
+        self._rows: Ledger[str] = Ledger()
+        self._wishes: dict[str, Ledger[str]] = {}
+        self._granted: dict[str, Grants] = {}
+        self._withdrawn: deque[tuple[timedelta, str]] = deque()
+
+    def new_view(self, view: View | None) -> None:
+        c = self._c
+        self.grants_ack = 0
+        self._rows = Ledger()
+        self._wishes = {name: Ledger() for name in c.peers.all}
+        self._granted = {}
+        self.allowances = Allowances(c.teams, sorted(view.members)) if view is not None else None
+
+    def withdrawn(self, ref: str) -> None:
+        """We promised that the job is cancelled: told to the others directly, should the state service fail now."""
+        self._withdrawn.append((self._c.context.now, ref))
+        for peer in self._c.peers.all.values():
+            self._c.peers.hurry(peer, AT_ONCE)
+
+    # What comes in.
+
+    def take(self, body: bytes) -> bytes | None:
+        """A message of another controller and our answer to it; None when it is broken."""
+        c = self._c
+        number = c.view.number if c.view is not None and c.part is not None else 0
+        peer = c.peers.take(body, number)
+        if peer is None:
+            return None
+        answer = Answer(
+            c.membership.incarnation, number, c.mirror.lacking, max(number, c.peers.newest), peer.inbox.seq
+        )
+        return cbor2.dumps(msgspec.to_builtins(answer))
+
+    def belongs(self, sync: Sync) -> bool:
+        """Its sender is the process that stands in our view."""
+        c = self._c
+        return c.view is not None and c.home is not None and sync.inc == c.view.members.get(sync.member)
+
+    def on_sync(self, sync: Sync, peer: Peer) -> None:
+        c = self._c
+        home, part, view = c.home, c.part, c.view
+        if home is None or part is None or view is None:
+            return
+        now = c.context.now
+        c.others_heard.setdefault(sync.member, now)
+        for ref in sync.withdrawn:
+            c.job_over(ref)
+        part.wish(sync.member, sync.seq, sync.wishes, self.takes_tasks)
+        if sync.wishes:
+            c.peers.hurry(peer, AT_ONCE)
+        if sync.member == view.leader:
+            c.floor.keep_pool(sync.pool)
+            if sync.grants is not None:
+                # Both at once: the new grants leave out what the leader took over.
+                c.grants, self.grants_ack = sync.grants, sync.seq
+                for ref in sync.took:
+                    home.taken_over(ref)
+            for ref, task, number, grace in sync.evict:
+                c.starter.evict(ref, task, number, timedelta(seconds=grace))
+        for name, row in sync.status.items():
+            if c.owner(name) == sync.member:
+                c.read_row(name, row)
+        self.acknowledge(home, sync.member, sync.acks.get(c.member, 0))
+        if self.allowances is not None and sync.grants_ack:
+            self.allowances.acknowledged(sync.member, sync.grants_ack)
+        home.touched = True
+
+    def acknowledge(self, home: Home, owner: str, ack: int) -> None:
+        """The owner has processed our messages up to `ack`, and its rows are as of then."""
+        c = self._c
+
+        def answered(name: str) -> list[TaskRow] | None:
+            if c.owner(name) != owner:
+                return None
+            host = c.floor.hosts.get(name)
+            if host is None or not host.known:
+                return []
+            return host.tasks if host.settled else None
+
+        home.acknowledged(ack, answered)
+
+    def takes_tasks(self, agent: Agent) -> bool:
+        record = agent.record
+        return (
+            agent.settled
+            and record.opened
+            and record.leaving is None
+            and agent.taken_at is None
+            and self._c.may_start()
+        )
+
+    # What goes out.
+
+    def mark(self, home: Home, part: Part, changed: set[str]) -> None:
+        """Enters what changed since the last round into the tables, and says who has to hear of it how soon."""
+        c = self._c
+        view = c.view
+        assert view is not None
+        if not changed and not home.wished:
+            return
+        home.seq += 1
+        ours: dict[str, list[WishRow] | None] = {}
+        wished, home.wished = home.wished, set()
+        for host in wished:
+            c.floor.touch(host)
+            owner = c.owner(host)
+            if owner == c.member:
+                ours[host] = home.wishes(host)
+            elif owner in self._wishes:
+                self._wishes[owner].mark(host, home.seq)
+                c.peers.hurry(c.peers.all[owner], AT_ONCE)
+        part.wish(c.member, home.seq, ours, self.takes_tasks)
+        waiting_for: set[str] = set()
+        for host in changed:
+            self._rows.mark(host, home.seq)
+            waiting_for |= part.homes(host)
+        for peer in c.peers.all.values():
+            if peer.name in waiting_for:
+                c.peers.hurry(peer, AT_ONCE)
+            elif changed and (peer.name == view.leader or not c.latched):
+                c.peers.hurry(peer, SOON)
+        if home.seq % PRUNE_EVERY == 0:
+            self._prune(part)
+
+    def _prune(self, part: Part) -> None:
+        c = self._c
+        assert c.view is not None
+        taken = [peer.taken for name, peer in c.peers.all.items() if name in c.view.members]
+        self._rows.prune(min(taken, default=0), part.agents)
+        for name, ledger in self._wishes.items():
+            ledger.prune(c.peers.all[name].taken, c.home.attempts if c.home is not None else ())
+
+    def send(self, home: Home, part: Part, now: timedelta) -> None:
+        """Messages to those that are due one."""
+        c = self._c
+        view = c.view
+        assert view is not None
+        took = self._took(home, view)
+        grants = self._divide(home, took)
+        for name, new in grants.items():
+            if name in c.peers.all and new != self._granted.get(name):
+                self._granted[name] = new
+                c.peers.hurry(c.peers.all[name], AT_ONCE)
+        due = [peer for peer in c.peers.all.values() if peer.due <= now and not peer.busy]
+        if not due:
+            return
+        home.seq += 1
+        while self._withdrawn and now - self._withdrawn[0][0] > WITHDRAWN_KEPT:
+            self._withdrawn.popleft()
+        leads = c.membership.leading
+        base = Sync(
+            member=c.member,
+            inc=c.membership.incarnation,
+            view=view.number,
+            seq=home.seq,
+            lacks=c.mirror.lacking,
+            wire=WIRE,
+            latched=c.latched,
+            acks=part.acks,
+            using=home.using(),
+            limbo=home.in_limbo(),
+            asking=c.starter.asking(home),
+            grants_ack=self.grants_ack,
+            took=took,
+            pool=c.floor.pool if leads else [],
+            evict=[(*key, one.grace) for key, one in c.starter.evictions.items()] if leads else [],
+            withdrawn=[ref for _, ref in self._withdrawn],
+        )
+        rows: dict[str, HostRow | None] = {}
+        for peer in due:
+            # Those outside the view hear of it too, so that they stop to act under an older one.
+            inside = peer.name in view.members
+            first = peer.name == view.leader
+            status = {}
+            for host in self._rows.since(peer.taken) if inside else ():
+                if host not in rows:
+                    rows[host] = part.row(host, now)
+                status[host] = rows[host]
+            sync = msgspec.structs.replace(
+                base,
+                base=peer.taken,
+                status=status,
+                wishes={host: home.wishes(host) for host in self._wishes[peer.name].since(peer.taken)},
+                grants=grants.get(peer.name),
+                waiting=c.starter.waiting_rows(home, now) if first else [],
+                strangers=part.strangers_known() if first else {},
+            )
+            c.peers.send(peer, sync)
+
+    def send_outside(self, now: timedelta) -> None:
+        """Without a place in a view there is nothing to tell but that we are there."""
+        c = self._c
+        for peer in c.peers.all.values():
+            if peer.due <= now and not peer.busy:
+                c.peers.send(peer, Sync(c.member, c.membership.incarnation, 0, 0, c.mirror.lacking, wire=WIRE))
+
+    def _took(self, home: Home, view: View) -> list[str]:
+        """Jobs that were handed to us and that we count now."""
+        return [
+            work.job.ref
+            for work in home.works.values()
+            if work.job.record.hand is not None and work.job.record.hand.view == view.number and self._c.ready(work)
+        ]
+
+    def _divide(self, home: Home, took: list[str]) -> dict[str, Grants]:
+        """The leader's split of the team limits, once every member knows all that it has to count."""
+        c = self._c
+        view = c.view
+        assert view is not None and self.allowances is not None
+        if not c.membership.leading or not c.latched:
+            return {}
+        using, asking = {c.member: home.using()}, {c.member: c.starter.asking(home)}
+        for member in view.members:
+            if member == c.member:
+                continue
+            said = c.peers.said(member)
+            if said is None or not said.latched:
+                return {}
+            using[member], asking[member] = dict(said.using), said.asking
+            for ref, amounts in said.limbo.items():
+                for team, (cores, cards) in amounts.items() if ref not in took else ():
+                    add_amounts(using[member], team, cores, cards)
+        # Told with the next message: none that bears this number or a later one has left yet.
+        grants = self.allowances.divide(home.seq + 1, using, asking, c.member)
+        self.allowances.acknowledged(c.member, home.seq + 1)
+        c.grants = grants[c.member]
+        return grants
+
+    def strangers(self) -> dict[str, tuple[str, str, bool]]:
+        """Machines that report and that the fleet record lacks."""
+        c = self._c
+        found = c.part.strangers_known() if c.part is not None else {}
+        for member in c.view.members if c.view is not None else {}:
+            said = c.peers.said(member)
+            if said is not None:
+                found |= said.strangers
+        return {host: kind for host, kind in found.items() if host not in c.machines}
--- a/src/ramptide/wire.py
+++ b/src/ramptide/wire.py
@@ -1,5 +1,6 @@
 """Every name that the outside world uses, and the turning of its messages into checked values."""
 
+import functools
 import re
 from datetime import timedelta
 from typing import Annotated, Any, TypeVar
@@ -101,7 +102,7 @@
     tenure: Count
     tally: Count
     baton: Count
-    pieces: list[Piece]
+    pieces: msgspec.Raw
     spot: bool = False
     addr: str | None = None
     notice_s: float | None = None
@@ -111,6 +112,12 @@
     return _decode(body, Beat)
 
 
+def decode_pieces(raw: bytes | msgspec.Raw) -> list[Piece]:
+    """The tasks of a report; kept raw until then, since most reports show what the one before showed."""
+    return _decode(bytes(raw), list[Piece])
+
+
+@functools.lru_cache(maxsize=16384)
 def split_piece(piece: str) -> tuple[str, int]:
     """'j-000412/3' as job and task number."""
     ref, slash, number = piece.rpartition("/")
--- /dev/null
+++ b/src/ramptide/workers.py
@@ -0,0 +1,128 @@
+"""Reports of workers: who answers them, when, and with what."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from ramptide import wire
+from ramptide.agents import Agent
+
+if TYPE_CHECKING:
+    from ramptide.app import Controller
+
+ZERO = timedelta(0)
+
+BeatAnswer = Callable[[int, bytes], None]
+
+
+@dataclass(slots=True)
+class Held:
+    """A report whose answer waits a moment for a launch."""
+
+    answer: BeatAnswer
+    until: timedelta
+
+
+class Reports:
+    def __init__(self, controller: "Controller") -> None:
+        self._c = controller
+        self._held: dict[str, Held] = {}
+
+    def new_view(self) -> None:
+        held, self._held = self._held, {}
+        for one in held.values():
+            one.answer(503, b"")
+
+    def forget(self, host: str) -> None:
+        held = self._held.pop(host, None)
+        if held is not None:
+            held.answer(503, b"")
+
+    def beat(self, body: bytes, answer: BeatAnswer) -> None:
+        c = self._c
+        try:
+            beat = wire.decode_beat(body)
+        except wire.BadMessage as error:
+            answer(400, wire.encode({"error": str(error)}))
+            return
+        view = c.view
+        if view is None or c.mirror.proof is None:
+            answer(503, b"{}")
+            return
+        owner = c.owner(beat.host)
+        if owner != c.member:
+            self._not_ours(owner, beat, view.number, answer)
+            return
+        if c.part is None or not c.may_answer() or beat.baton > view.number:
+            answer(503, b"{}")
+            return
+        try:
+            fresh = c.part.report(beat, c.context.now)
+        except wire.BadMessage as error:
+            answer(400, wire.encode({"error": str(error)}))
+            return
+        if not fresh:
+            # A late copy: it may not use up an order, nor count as answered.
+            answer(503, b"{}")
+            return
+        self.forget(beat.host)
+        agent = c.part.agents.get(beat.host)
+        if agent is not None and self._worth_holding(agent) and not c.part.pending(beat.host):
+            self._held[beat.host] = Held(answer, c.context.now + c.tuning.hold)
+            return
+        self._reply(beat.host, answer)
+
+    def _not_ours(self, owner: str, beat: wire.Beat, token: int, answer: BeatAnswer) -> None:
+        if self._stands_in(owner, beat):
+            answer(200, wire.encode_beat_answer(token, []))
+        elif not self._c.proven_within(self._c.answer_for):
+            answer(503, b"{}")
+        else:
+            answer(421, wire.encode_foreman(owner))
+
+    def _stands_in(self, owner: str, beat: wire.Beat) -> bool:
+        """While all lack the state service, no view can replace an owner whose process ended. Its workers
+        keep their leases then, but get no orders. Not one that runs a task of a job that is over: a
+        cancellation was promised, and nobody could tell it to stop."""
+        c = self._c
+        assert c.view is not None
+        if not c.mirror.lacking or not c.may_answer() or beat.baton > c.view.number:
+            return False
+        dead = c.peers.replaced(owner, c.view.members[owner])
+        try:
+            pieces = wire.decode_pieces(beat.pieces) if dead else []
+            return dead and all(wire.split_piece(piece.piece)[0] in c.jobs for piece in pieces)
+        except wire.BadMessage:
+            return False
+
+    def _worth_holding(self, agent: Agent) -> bool:
+        """The answer may wait for a launch where no news is expected: no array's task is there to end."""
+        return (
+            self._c.tuning.hold > ZERO
+            and agent.current
+            and not agent.deaf
+            and agent.record.leaving is None
+            and agent.taken_at is None
+            and agent.serves_only()
+        )
+
+    def _reply(self, host: str, answer: BeatAnswer) -> None:
+        c = self._c
+        if c.part is None or c.view is None or not c.may_answer():
+            answer(503, b"{}")
+            return
+        agent = c.part.agents.get(host)
+        orders = c.part.orders(host, c.context.now, c.may_start())
+        if agent is not None:
+            agent.answered = c.context.now
+        answer(200, wire.encode_beat_answer(c.view.number, orders))
+
+    def answer_held(self, now: timedelta) -> None:
+        part = self._c.part
+        for host, held in list(self._held.items()):
+            if held.until <= now or part is not None and host in part.news and part.pending(host):
+                del self._held[host]
+                self._reply(host, held.answer)
+        if part is not None:
+            part.news.clear()
