--- a/src/ramptide/commits.py
+++ b/src/ramptide/commits.py
@@ -7,7 +7,7 @@
 
 from ramptide import wire
 from ramptide.limits import Rank
-from ramptide.store import Outcome, Store, Txn
+from ramptide.store import PATIENCE, Outcome, Store, Txn
 
 BYTES = 56 * 1024
 AT_ONCE = 2
@@ -20,6 +20,7 @@
 
     txn: Txn
     size: int
+    until: timedelta
     done: Callable[[Outcome], None]
 
 
@@ -27,8 +28,11 @@
     """Each change keeps its own conditions: when one of them fails, that change alone is refused and the others
     go on. What is common to all (the view) is added when a group leaves."""
 
-    def __init__(self, store: Store, common: Callable[[], dict[str, int]], rank: Rank = Rank.COMMIT) -> None:
+    def __init__(
+        self, store: Store, common: Callable[[], dict[str, int]], rank: Rank = Rank.COMMIT, most: int | None = None
+    ) -> None:
         self._store = store
+        self._most = min(most or store.limits.txn_ops, store.limits.txn_ops)
         self._common = common
         self._rank = rank
         self._waiting: deque[_Change] = deque()
@@ -38,13 +42,13 @@
 
     def add(self, txn: Txn, done: Callable[[Outcome], None]) -> None:
         size = len(wire.encode_txn(txn.when, txn.puts, txn.drops))
-        self._waiting.append(_Change(txn, size, done))
+        self._waiting.append(_Change(txn, size, self._store.context.now + PATIENCE[self._rank], done))
         self._plan()
 
     def delay(self) -> timedelta:
         """How long a change that is added now would wait for its turn."""
         behind = sum(change.txn.size for change in self._waiting)
-        return self._store.gate.backlog(self._rank) + timedelta(seconds=behind / self._store.writes)
+        return self._store.gate.backlog(self._rank) + timedelta(seconds=behind / self._store.writes.rate)
 
     def _plan(self) -> None:
         if not self._planned and self._waiting and self._flying < AT_ONCE:
@@ -57,13 +61,13 @@
         group: list[_Change] = []
         left: deque[_Change] = deque()
         ops, conditions, size, keys = 0, len(common), 0, set(self._keys)
-        limit = self._store.limits.txn_ops
+        limit = self._most
         while self._waiting:
             change = self._waiting.popleft()
             touched = {path for path, _, _ in change.txn.puts} | set(change.txn.drops)
             fits = (
                 ops + change.txn.size <= limit
-                and conditions + len(change.txn.when) <= limit * 4
+                and conditions + len(change.txn.when) <= self._store.limits.txn_ops * 4
                 and size + change.size <= BYTES
             )
             if group and not fits or keys & touched:
@@ -94,8 +98,11 @@
             self._keys -= keys
             failed = set(outcome.failed or ())
             again = []
+            now = self._store.context.now
             for change in group:
-                if not failed or failed & (change.txn.when.keys() | common.keys()):
+                if outcome.full and now < change.until:
+                    again.append(change)
+                elif not failed or failed & (change.txn.when.keys() | common.keys()):
                     change.done(outcome)
                 else:
                     again.append(change)
--- a/src/ramptide/fleet.py
+++ b/src/ramptide/fleet.py
@@ -89,6 +89,7 @@
         self.waiting = 0
         self.long_waiting = 0
         self.pool: list[str] = []
+        self.pool_wanted = 0
 
     # Signals.
 
@@ -220,11 +221,13 @@
             price = machine.flavor.price if machine.flavor is not None else 0.0
             return (-images, price, host)
 
-        self.pool = sorted(ordinary, key=worth)[: self.tuning.pool_size]
+        up = sum(m.up and m.record.leaving is None for m in machines)
+        self.pool_wanted = max(self.tuning.pool_size, round(up * self.tuning.pool_share))
+        self.pool = sorted(ordinary, key=worth)[: self.pool_wanted]
 
     def _pool_short(self, machines: list[Machine]) -> bool:
         booting = sum(not m.up and not m.record.spot and m.record.leaving is None for m in machines)
-        return len(self.pool) + booting < self.tuning.pool_size
+        return len(self.pool) + booting < self.pool_wanted
 
     def _cool_down(self, now: timedelta, machines: list[Machine], plan: Plan) -> None:
         if self.trigger is not Trigger.QUIET or now - self._quiet_since < self.tuning.cooldown:
--- a/src/ramptide/limits.py
+++ b/src/ramptide/limits.py
@@ -10,6 +10,8 @@
 
 ZERO = timedelta(0)
 SECOND = timedelta(seconds=1)
+#: A share rises by a fifth of itself a second.
+RISE = 0.2
 
 
 class Rank(IntEnum):
@@ -22,17 +24,25 @@
 
 
 class Bucket:
-    """Tokens come at `rate` a second up to `burst`; an amount above the burst waits for a full bucket."""
+    """Tokens come at `rate` a second up to `burst`; an amount above the burst waits for a full bucket.
 
-    def __init__(self, rate: float, burst: float) -> None:
+    With `most`, the rate is a share of what all callers have together: it rises from there while nothing is
+    refused, as long as others leave their shares unused, and falls back at the first refusal.
+    """
+
+    def __init__(self, rate: float, burst: float, most: float | None = None) -> None:
         self.rate = rate
+        self._share = rate
+        self._most = max(most or rate, rate)
         self.burst = max(burst, 1.0)
         self._level = self.burst
         self._at = ZERO
 
     def wait(self, now: timedelta, amount: float) -> timedelta:
         """How long until `amount` can be taken."""
-        self._level = min(self.burst, self._level + self.rate * ((now - self._at) / SECOND))
+        passed = (now - self._at) / SECOND
+        self._level = min(self.burst, self._level + self.rate * passed)
+        self.rate = min(self._most, self.rate + self._share * RISE * passed)
         self._at = now
         short = min(amount, self.burst) - self._level
         return ZERO if short <= 1e-9 else SECOND * (short / self.rate)
@@ -48,6 +58,7 @@
     def drain(self) -> None:
         """The service says that it had too much."""
         self._level = min(self._level, 0.0)
+        self.rate = self._share
 
 
 @dataclass(slots=True)
--- a/src/ramptide/membership.py
+++ b/src/ramptide/membership.py
@@ -182,6 +182,8 @@
                 log.info("our grant ran out")
                 self._grant = None
                 self._judge()
+            elif alive is None:
+                self._touched = min(self._touched, self._context.now - TOUCH + STEP)
 
         self._store.touch(grant, done)
 
--- a/src/ramptide/results.py
+++ b/src/ramptide/results.py
@@ -17,6 +17,8 @@
 
 FLUSH_EVERY = timedelta(seconds=4)
 AGAIN = timedelta(milliseconds=500)
+#: Few at a time, so that what people wait for finds tokens left.
+AT_ONCE = 3
 
 
 class Results:
@@ -24,7 +26,7 @@
 
     def __init__(self, controller: "Controller") -> None:
         self._c = controller
-        self._progress = Commits(controller.store, controller.common, Rank.HOUSEKEEPING)
+        self._progress = Commits(controller.store, controller.common, Rank.HOUSEKEEPING, AT_ONCE)
         self._next: dict[str, timedelta] = {}
         self._flying: set[str] = set()
 
--- a/src/ramptide/settings.py
+++ b/src/ramptide/settings.py
@@ -61,7 +61,8 @@
     "long_wait": Bound(0, 3600, "seconds after which a waiting task is long-waiting"),
     "long_waiting_high": Bound(1, 1e6, "long-waiting tasks that count as high"),
     "cooldown": Bound(0, 3600, "quiet seconds after which an idle machine is returned"),
-    "pool_size": Bound(0, 1000, "idle machines kept ready"),
+    "pool_size": Bound(0, 1000, "idle machines kept ready at least"),
+    "pool_share": Bound(0, 1, "idle machines kept ready for each machine that is up"),
     "horizon": Bound(1, 86400, "seconds of work over which a machine's boot is paid off"),
     "boot_factor": Bound(1, 100, "times the usual boot time after which a machine that is not up is returned"),
     "silent_leases": Bound(1.1, 100, "leases of silence after which a machine is returned"),
@@ -78,13 +79,14 @@
     """The operators' own settings, kept in the state service and changed through the administration API."""
 
     step: timedelta = timedelta(seconds=0.5)
-    step_most: int = 10
+    step_most: int = 50
     window: timedelta = timedelta(seconds=0.5)
     waiting_high: int = 1
     long_wait: timedelta = timedelta(seconds=10)
     long_waiting_high: int = 1
     cooldown: timedelta = timedelta(seconds=20)
     pool_size: int = 1
+    pool_share: float = 0.02
     horizon: timedelta = timedelta(seconds=90)
     boot_factor: float = 3.0
     silent_leases: float = 1.3
--- a/src/ramptide/store.py
+++ b/src/ramptide/store.py
@@ -38,11 +38,12 @@
 @dataclass(slots=True)
 class Outcome:
     """What became of a transaction: `epoch` when it went through, `failed` when a condition did not hold;
-    neither when nobody knows (`sent`) or it was not carried out (not `sent`)."""
+    neither when nobody knows (`sent`) or it was not carried out (not `sent`; `full`: for want of a free rate)."""
 
     epoch: int | None = None
     failed: list[str] | None = None
     sent: bool = True
+    full: bool = False
 
 
 class Store:
@@ -50,11 +51,11 @@
         self.context = context
         self.address = address
         self.limits = limits
-        # The leader writes the fleet record besides its share of the jobs, so it counts as two.
-        calls = limits.rps * 0.95 / nodes
-        writes = limits.write_rps * 0.95 / (nodes + 1)
-        self.writes = writes
-        self.gate = Gate(context, Bucket(calls, calls), Bucket(writes, writes))
+        calls, writes = limits.rps * 0.95, limits.write_rps * 0.95
+        # The load is not the same on all: the leader writes more. One alone never takes more than half of all
+        # changes, and what is refused for that was not carried out.
+        self.writes = Bucket(writes / nodes, writes / nodes, writes / 2)
+        self.gate = Gate(context, Bucket(calls / nodes, calls / nodes, calls / 2), self.writes)
 
     def _call(
         self,
@@ -138,7 +139,7 @@
             else:
                 if reply.status not in (429, 503):
                     log.error("transaction refused with %d: %r", reply.status, reply.body[:200])
-                done(Outcome(sent=False))
+                done(Outcome(sent=False, full=reply.status == 429))
 
         body = wire.encode_txn(txn.when, txn.puts, txn.drops)
         self._call(
