--- a/src/ramptide/app.py
+++ b/src/ramptide/app.py
@@ -187,8 +187,10 @@
         self._assign(job)
 
     def job_over(self, ref: str) -> None:
-        if self.jobs.pop(ref, None) is None:
+        job = self.jobs.pop(ref, None)
+        if job is None:
             return
+        self.floor.job_over(ref, job.run)
         self.results.forget(ref)
         if self.home is not None:
             self.home.job_over(ref, self.context.now)
--- a/src/ramptide/floor.py
+++ b/src/ramptide/floor.py
@@ -53,6 +53,8 @@
         self.running: Counter[str] = Counter()
         self.pool: list[str] = []
         self._where: dict[str, set[str]] = {}
+        #: Jobs that are over and whose tasks are still shown: what they take is known.
+        self._left: dict[str, wire.Run] = {}
         self._stale: set[str] = set()
         self._unclear: set[str] = set()
 
@@ -80,6 +82,7 @@
         self.hosts = {name: Host(images=host.images) for name, host in self.hosts.items()}
         self.running.clear()
         self._where.clear()
+        self._left.clear()
         self._unclear.clear()
         self.touch_all()
 
@@ -109,23 +112,30 @@
 
     def _list(self, name: str, tasks: list[TaskRow]) -> None:
         host = self.hosts[name]
-        for row in host.tasks:
-            if row[3] == wire.RUNNING:
-                self.running[row[0]] -= 1
-                if not self.running[row[0]]:
-                    del self.running[row[0]]
-            where = self._where.get(row[0])
-            if where is not None:
-                where.discard(name)
-                if not where:
-                    del self._where[row[0]]
-        host.tasks, host.busy = tasks, 0
-        for row in tasks:
-            if row[3] == wire.RUNNING:
-                self.running[row[0]] += 1
-            if Phase(row[3]) not in OVER:
-                host.busy += 1
-            self._where.setdefault(row[0], set()).add(name)
+        before, after = {row[0] for row in host.tasks}, {row[0] for row in tasks}
+        for ref in before - after:
+            where = self._where.get(ref, set())
+            where.discard(name)
+            if not where:
+                self._where.pop(ref, None)
+                self._left.pop(ref, None)
+        for ref in after - before:
+            self._where.setdefault(ref, set()).add(name)
+        self.running.subtract(row[0] for row in host.tasks if row[3] == wire.RUNNING)
+        self.running.update(row[0] for row in tasks if row[3] == wire.RUNNING)
+        for ref in before - after:
+            if not self.running[ref]:
+                del self.running[ref]
+        host.tasks = tasks
+        host.busy = sum(Phase(row[3]) not in OVER for row in tasks)
+
+    def job_over(self, ref: str, run: wire.Run) -> None:
+        if ref in self._where:
+            self._left[ref] = run
+
+    def _run(self, ref: str) -> wire.Run | None:
+        job = self._jobs.get(ref)
+        return job.run if job is not None else self._left.get(ref)
 
     def where(self, ref: str) -> list[str]:
         """The machines whose owners show a task of the job."""
@@ -159,12 +169,12 @@
         for ref, task, number, phase, _cause in host.tasks:
             if Phase(phase) in OVER:
                 continue
-            job = self._jobs.get(ref)
-            if job is None:
-                # A job that is over, or that we have yet to hear of: nobody knows what it takes.
+            run = self._run(ref)
+            if run is None:
+                # A job that was over before, or that we have yet to hear of: nobody knows what it takes.
                 self._unclear.add(name)
                 return None
-            room.take(job.run)
+            room.take(run)
             shown.add((ref, task, number))
         busy = bool(shown)
         for attempt in self._attempts(name):
--- a/tests/chaos.py
+++ b/tests/chaos.py
@@ -2,17 +2,18 @@
 
 import json
 import random
+from collections.abc import Callable
 
 from world import S, World, started
 
 TROUBLES = (
     "crash", "crash_all", "roll", "outage", "refused", "isolate", "cut_state", "cut_worker", "cut_worker_from_node",
-    "die", "cloud_down", "sick", "cancel", "loss", "quick_restart",
+    "die", "cloud_down", "sick", "cancel", "loss", "quick_restart", "deaf", "late_reports", "election", "workers_only",
 )  # fmt: skip
 
 
-def play(seed: int, seconds: float = 60.0) -> World:
-    """One history; its world is returned for judging."""
+def play(seed: int, seconds: float = 60.0, look: Callable[[World], None] | None = None) -> World:
+    """One history; its world is returned for judging. `look` is called every half second."""
     rng = random.Random(seed)
     world = started(seed, teams={"team": 0.0, "tight": 24.0}, capacity=10)
     world.hold_mode = rng.random() < 0.5
@@ -35,6 +36,8 @@
         world.after(rng.uniform(3, seconds * 0.8) * S, lambda kind=kind: trouble(world, rng, kind))
     for tenth in range(int(seconds * 10)):
         world.after(tenth * 0.1 * S, world.rules.check)
+    for half in range(int(seconds * 2) if look is not None else 0):
+        world.after(half * 0.5 * S, lambda: look(world) if look is not None else None)
     world.run(seconds)
     return world
 
@@ -103,6 +106,21 @@
     elif kind == "cloud_down":
         world.cloud.down = True
         world.after(span, lambda: setattr(world.cloud, "down", False))
+    elif kind == "deaf" and live:
+        host = rng.choice(live).host
+        world.deaf.add(host)
+        world.after(span * 2, lambda: world.deaf.discard(host))
+    elif kind == "late_reports":
+        world.late_reports = 0.1
+        world.after(span * 2, lambda: setattr(world, "late_reports", 0.0))
+    elif kind == "election":
+        # The leader goes, and those that run for its place are back within a fraction of a second.
+        for each in world.names:
+            delay = rng.uniform(0, 5) * S
+            world.after(delay, lambda each=each: restart(world, each, rng.uniform(0.1, 0.6)))  # type: ignore[misc]
+    elif kind == "workers_only":
+        world.isolate(name, *world.workers)
+        world.after(span, world.heal)
     elif kind == "sick" and live:
         rng.choice(live).sick = True
     elif kind == "cancel" and world.jobs:
--- /dev/null
+++ b/tests/test_exchange.py
@@ -0,0 +1,294 @@
+"""What passes between controllers and to the state service: changes since a number, groups, crossing reads, copies."""
+
+import json
+import random
+from datetime import timedelta
+from typing import Any
+
+import cbor2
+import pytest
+from chaos import submit
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from world import Reply, S, VirtualContext, World, job, leader, started
+
+from ramptide import wire
+from ramptide.agents import Part, Phase
+from ramptide.commits import Commits
+from ramptide.delta import Inbox, Ledger
+from ramptide.limits import Bucket
+from ramptide.mirror import Mirror
+from ramptide.records import MachineRecord
+from ramptide.store import Outcome, Store, Txn
+
+EVENTS = st.lists(
+    st.tuples(st.sampled_from(["set", "drop", "send", "deliver", "late", "answer"]), st.integers(0, 9)), max_size=120
+)
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(EVENTS)
+def test_changes_since_an_acknowledged_number_build_the_whole_table(events: list[tuple[str, int]]) -> None:
+    """The plain model is a copy of the sender's whole table at each number; messages get lost, late and repeated."""
+    ledger: Ledger[int] = Ledger()
+    table: dict[int, int] = {}
+    whole: dict[int, dict[int, int]] = {0: {}}
+    inbox, copy = Inbox(), dict[int, int]()
+    seq = taken = 0
+    sent: list[tuple[int, int, dict[int, int | None]]] = []
+    for kind, number in events:
+        if kind in ("set", "drop"):
+            seq += 1
+            table.pop(number, None)
+            if kind == "set":
+                table[number] = seq
+            ledger.mark(number, seq)
+        elif kind == "send":
+            seq += 1
+            sent.append((taken, seq, {key: table.get(key) for key in ledger.since(taken)}))
+        elif kind in ("deliver", "late") and sent:
+            base, upto, changes = sent[-1] if kind == "deliver" else sent[number % len(sent)]
+            if inbox.takes(base, upto):
+                for key, value in changes.items():
+                    copy.pop(key, None)
+                    if value is not None:
+                        copy[key] = value
+        elif kind == "answer":
+            taken = inbox.seq
+            ledger.prune(taken, table)
+        whole[seq] = dict(table)
+        assert copy == whole[inbox.seq]
+
+
+def test_a_message_after_a_gap_is_not_taken() -> None:
+    inbox = Inbox()
+    assert inbox.takes(0, 3) and not inbox.takes(5, 6), "what changed from 3 to 5 is missing here"
+    assert inbox.takes(3, 6) and not inbox.takes(0, 4), "an older one says nothing new"
+
+
+class Postponed:
+    """A state service whose answers come when the test says."""
+
+    def __init__(self) -> None:
+        self.world = World(1)
+        self.context = VirtualContext(self.world.nodes["c0"])
+        self.calls: list[tuple[str, bytes, Any]] = []
+        self.context.call = self.call  # type: ignore[method-assign]
+        self.limits = wire.StateLimits(rps=1000.0, write_rps=1000.0, value_kb=16.0, txn_ops=12)
+        self.store = Store(self.context, "state", self.limits, 1)
+
+    def call(
+        self, address: str, method: str, target: str, body: bytes, kind: str, timeout: timedelta, done: Any
+    ) -> None:
+        self.calls.append((target, body, done))
+
+    def answer(self, index: int, status: int, value: Any) -> None:
+        _, _, done = self.calls[index]
+        done(Reply(status, json.dumps(value).encode()))
+
+
+def test_an_answer_that_crosses_a_newer_one_brings_nothing_back() -> None:
+    """A watch that was opened first answers last: the drop that a later read has shown stays."""
+    state, seen = Postponed(), {}
+
+    def changed(path: str, value: Any, stamp: int) -> None:
+        seen[path] = value
+
+    mirror = Mirror(state.store, "live/", changed, lambda: None)
+    mirror.start()
+    state.answer(0, 200, {"rows": [], "epoch": 100})
+    asked: list[bool] = []
+    mirror.catch_up(asked.append)
+    state.world.run(0.2)
+    assert len(state.calls) == 3, "the load, the watch and the read"
+    put, drop = {"put": "live/x", "v": 1, "stamp": 105}, {"drop": "live/x", "stamp": 110}
+    state.answer(2, 200, {"epoch": 110, "news": [put, drop]})
+    assert asked == [True] and seen == {"live/x": None}
+    state.answer(1, 200, {"epoch": 107, "news": [put]})
+    assert seen.get("live/x") is None
+
+
+def test_polls_that_come_while_a_read_is_under_way_wait_for_the_next() -> None:
+    state = Postponed()
+    mirror = Mirror(state.store, "live/", lambda *change: None, lambda: None)
+    mirror.start()
+    state.answer(0, 200, {"rows": [], "epoch": 1})
+    early: list[bool] = []
+    late: list[bool] = []
+    mirror.catch_up(early.append)
+    mirror.catch_up(early.append)
+    state.world.run(0.1)
+    mirror.catch_up(late.append)
+    state.answer(2, 200, {"epoch": 1, "news": []})
+    assert early == [True, True] and late == []
+    state.world.run(0.1)
+    state.answer(3, 503, {})
+    assert late == [False]
+
+
+def test_only_the_change_at_fault_is_refused() -> None:
+    state = Postponed()
+    commits = Commits(state.store, lambda: {"live/view": 7})
+    outcomes: dict[str, Outcome] = {}
+    for name in ("a", "b", "c"):
+        txn = Txn(when={name: 0}, puts=[(name, 1, None)])
+        commits.add(txn, lambda outcome, name=name: outcomes.update({name: outcome}))  # type: ignore[misc]
+    state.world.run(0.1)
+    assert len(state.calls) == 1 and len(json.loads(state.calls[0][1])["then"]) == 3
+    state.answer(0, 409, {"failed": ["b"], "epoch": 5})
+    assert list(outcomes) == ["b"] and outcomes["b"].failed == ["b"]
+    state.world.run(0.1)
+    state.answer(1, 200, {"epoch": 6})
+    assert outcomes["a"].epoch == outcomes["c"].epoch == 6
+
+
+@settings(derandomize=True, max_examples=100, deadline=None)
+@given(st.lists(st.tuples(st.sampled_from("abcdefgh"), st.integers(1, 3), st.integers(0, 9)), max_size=60))
+def test_groups_keep_the_limits_and_the_order_of_a_key(changes: list[tuple[str, int, int]]) -> None:
+    """Against a plain list of what was asked: each change goes out once, one key never twice in a group."""
+    state = Postponed()
+    commits = Commits(state.store, lambda: {"live/view": 7})
+    done: list[int] = []
+    for number, (key, ops, wait) in enumerate(changes):
+        puts = [(f"{key}{n}", number, None) for n in range(ops)]
+        commits.add(Txn(when={key: 0}, puts=puts), lambda outcome, number=number: done.append(number))  # type: ignore[misc]
+        state.world.run(wait * 0.01)
+    answered = 0
+    while len(done) < len(changes):
+        state.world.run(0.1)
+        assert answered < len(state.calls) <= answered + 2
+        for _, body, _ in state.calls[answered:]:
+            sent = json.loads(body)
+            paths = [one["put"] for one in sent["then"]]
+            assert len(paths) <= 12 and len(set(paths)) == len(paths) and len(sent["when"]) <= 48
+        answered += 1
+        state.answer(answered - 1, 200, {"epoch": 10 + answered})
+    assert sorted(done) == list(range(len(changes)))
+    for key in "abcdefgh":
+        order = [number for number in done if changes[number][0] == key]
+        assert order == sorted(order)
+
+
+def test_a_share_rises_while_nothing_is_refused_and_falls_back_at_once() -> None:
+    bucket = Bucket(10.0, 10.0, 25.0)
+    bucket.wait(20 * S, 1)
+    assert bucket.rate == 25.0
+    bucket.drain()
+    assert bucket.rate == 10.0 and bucket.wait(20 * S, 1) > timedelta(0)
+
+
+def a_part() -> Part:
+    run = wire.decode_run(json.dumps(job("j-1", cores=1.0)).encode())
+    part = Part(5, 8 * S, 1 * S, lambda ref: run if ref == "j-1" else None)
+    record = MachineRecord("m", "a", False, 1, 0.0, None, True, "r")
+    part.own("vm-1", record, wire.Flavor(name="m", cores=8.0, ram_gb=32.0, yards=["a"]), timedelta(0), [])
+    return part
+
+
+def beat(tenure: int, tally: int, baton: int, *tasks: int) -> wire.Beat:
+    pieces = [{"piece": f"j-1/{task}", "try": task, "status": "running"} for task in tasks]
+    machine = {"host": "vm-1", "rig": "m", "yard": "a"}
+    message = machine | {"tenure": tenure, "tally": tally, "baton": baton, "pieces": pieces}
+    return wire.decode_beat(json.dumps(message).encode())
+
+
+def test_late_copies_of_reports_change_nothing() -> None:
+    """Within a tenure, over tenures, from before the view, and after the lease has certainly run out."""
+    part, plain = a_part(), dict[tuple[int, int], wire.Beat]()
+    agent = part.agents["vm-1"]
+    assert part.report(beat(1, 1, 4, 1, 2), 0 * S) and not agent.settled, "it may be from before the token was seen"
+    assert not agent.entries
+    rng, now = random.Random(4), 0 * S
+    for tally in range(2, 40):
+        now += 1 * S
+        tenure = 1 + tally // 10
+        report = beat(tenure, tally, 5, *rng.sample(range(8), 3))
+        assert part.report(report, now)
+        agent.answered = now
+        shown = {key: entry.phase for key, entry in agent.entries.items()}
+        heard, answered = agent.heard, agent.answered
+        plain[tenure, tally] = report
+        for copy in rng.sample(sorted(plain), min(3, len(plain))):
+            assert not part.report(plain[copy], now + 0.3 * S)
+        assert shown == {key: entry.phase for key, entry in agent.entries.items()}
+        assert (agent.heard, agent.answered) == (heard, answered), "they extend no lease in our reckoning"
+    assert agent.settled
+    part.expire(now + 9.2 * S, 0 * S)
+    assert all(entry.phase is Phase.GONE for entry in agent.entries.values())
+    assert not part.report(beat(4, 99, 5, 1, 2, 3), now + 10 * S), "a late one of the tenure that ended revives nothing"
+    assert part.report(beat(5, 100, 5), now + 11 * S)
+
+
+def test_without_the_later_tenure_a_late_report_revives_what_is_gone(monkeypatch: pytest.MonkeyPatch) -> None:
+    part = a_part()
+    agent = part.agents["vm-1"]
+    assert part.report(beat(1, 1, 5, 1), 0 * S)
+    agent.answered = 0 * S
+    part.expire(10 * S, 0 * S)
+    agent.order = (1, 1)
+    assert part.report(beat(1, 2, 5, 1), 11 * S)
+    assert any(entry.phase is Phase.RUNNING for entry in agent.entries.values())
+
+
+def test_a_late_report_of_a_returned_machine_brings_nothing_back() -> None:
+    part = a_part()
+    assert part.report(beat(1, 1, 5), 0 * S)
+    part.disown("vm-1")
+    assert part.report(beat(1, 1, 4), 20 * S) and not part.strangers_known(), "from before this view"
+    assert part.report(beat(1, 2, 5), 21 * S) and part.strangers_known(), "the leader knows what it returned"
+    world = started(5)
+    controller = world.nodes[leader(world)].controller
+    assert controller is not None and controller.part is not None
+    controller.leader._returned["vm-1"] = None
+    controller.part.strangers["vm-1"] = beat(1, 2, 99)
+    world.run(30)
+    assert "vm-1" not in controller.machines
+    controller.part.strangers["vm-2"] = beat(1, 2, 99)
+    controller.part.strangers["vm-2"].host = "vm-2"
+    assert world.run_until(lambda: "vm-2" in controller.machines, 10), "one that nobody returned is taken over"
+
+
+def test_what_is_no_message_of_ours_is_refused_and_asked_for_again(caplog: pytest.LogCaptureFixture) -> None:
+    world = started(5)
+    controller = world.nodes["c0"].controller
+    assert controller is not None
+    take = controller.syncing.take
+    assert take(b"") is None and take(b"\xff" * 99) is None and take(cbor2.dumps([1])) is None
+    old = {"member": "c1", "inc": "c1-1", "view": 1, "seq": 10**6, "lacks": False}
+    assert take(cbor2.dumps(old)) is None and "version 0 between controllers" in caplog.text
+    whole = cbor2.dumps(old | {"wire": 2, "base": 10**6, "view": controller.view.number if controller.view else 0})
+    assert take(whole[: len(whole) // 2]) is None
+    answer = take(whole)
+    assert answer is not None and cbor2.loads(answer)["have"] < 10**6, "it says from where it needs the changes"
+    world.run(2)
+    assert all(node.controller is not None and node.controller.latched for node in world.nodes.values())
+
+
+def test_work_at_a_grown_size() -> None:
+    """Several hundred machines, five controllers, some thousand tasks: calls and bytes are counted, not time."""
+    world = World(7, members=5, capacity=300)
+    world.limits |= {"rps": 200.0, "write_rps": 50.0, "value_kb": 4.0}
+    world.cloud.boots = (4.0, 12.0)
+    for node in world.nodes.values():
+        node.start()
+    world.run(5)
+    for number in range(150):
+        world.submit(f"j-{number}", shape="service", pieces=1, cores=1.0, rank="high")
+    for number in range(150, 180):
+        world.submit(f"j-{number}", pieces=100 if number < 179 else 700, cores=1.0, guessS=8.0)
+    rng = random.Random(7)
+    for number, ref in enumerate(world.jobs):
+        world.after(number * 0.02 * S, lambda ref=ref: submit(world, rng, ref))  # type: ignore[misc]
+    world.run(20)
+    assert len(world.workers) > 150, "the fleet grows in time"
+    world.run(25)
+    world.calls.clear()
+    world.sent_bytes.clear()
+    world.run(20)
+    assert world.rules.broken == []
+    assert world.rules.starts > 3000 and sum(world.done(f"j-{number}") for number in range(150, 180)) == 30
+    seconds = 20
+    state = sum(count for call, count in world.calls.items() if not call.startswith("POST sync"))
+    assert state / seconds < 200 and world.calls["POST rentals"] <= 25
+    assert world.calls["POST sync"] / seconds < 100
+    assert sum(world.sent_bytes[name] for name in world.names) / seconds < 200_000
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -1,24 +1,78 @@
 """Whole controllers on a virtual clock, judged by the plain model of the rules."""
 
+import json
+from collections import Counter
 from typing import Any
 
 import pytest
 from chaos import play
-from world import S, Worker, World, leader, started
+from world import S, Worker, World, job, leader, started
 
+from ramptide.agents import Part
 from ramptide.app import Controller
+from ramptide.jobs import sum_amounts
 
 
-@pytest.mark.parametrize("seed", range(24))
+@pytest.mark.parametrize("seed", range(28))
 def test_no_rule_is_broken_in_generated_histories(seed: int) -> None:
     world = play(seed)
     assert world.rules.broken == []
     assert world.rules.starts > 0
+    # Every accepted job stays known: any controller answers for it once the troubles are over.
+    calm(world)
+    known = {key.split("/")[-1] for key in world.state.data if key.startswith(("live/job/", "ended/"))}
+    for ref in known:
+        for name in world.names:
+            answer = world.poll(ref, name)
+            assert answer is not None and answer[0] == 200, (ref, name, answer)
+    assert world.rules.broken == []
+
+
+def calm(world: World) -> None:
+    """The troubles end, and the controllers come to rest."""
+    world.state.down = world.cloud.down = False
+    world.state.refuses.clear()
+    world.loss = world.late_reports = world.repeat = 0.0
+    world.heal()
+    for node in world.nodes.values():
+        if node.controller is None:
+            node.start()
+    world.run(15)
 
 
-def busy_world(seed: int = 3, **fields: object) -> World:
+@pytest.mark.parametrize("seed", range(100, 108))
+def test_the_indexes_agree_with_a_walk_of_everything(seed: int) -> None:
+    world = play(seed, 40.0, look=agree)
+    assert world.rules.starts > 0
+
+
+def agree(world: World) -> None:
+    for node in world.nodes.values():
+        c = node.controller
+        if c is None or c.home is None:
+            continue
+        floor, home = c.floor, c.home
+        floor.refresh()
+        plain = {name: room for name in floor.hosts if (room := floor._room(name)) is not None}
+        assert floor.rooms == plain
+        running = Counter(row[0] for host in floor.hosts.values() for row in host.tasks if row[3] == "running")
+        assert {ref: count for ref, count in floor.running.items() if count} == running
+        for ref in {row[0] for host in floor.hosts.values() for row in host.tasks}:
+            assert floor.where(ref) == sorted(
+                name for name, host in floor.hosts.items() if any(row[0] == ref for row in host.tasks)
+            )
+        using = sum_amounts(home.all_attempts())
+        for team in using | home.using():
+            assert home.using().get(team, (0.0, 0.0)) == pytest.approx(using.get(team, (0.0, 0.0)))
+        by_ref = [attempt for entries in home._by_ref.values() for attempt in entries.values()]
+        assert sorted(a.key for a in by_ref) == sorted(a.key for a in home.all_attempts())
+        shown = {tuple(row[:3]) for host in floor.hosts.values() if host.settled for row in host.tasks}
+        assert all(attempt.key in home.unshown or attempt.key in shown for attempt in home.all_attempts())
+
+
+def busy_world(seed: int = 3, members: int = 3, **fields: object) -> World:
     """A world with a long job running on several machines."""
-    world = started(seed)
+    world = started(seed, members=members)
     world.submit("j-1", **({"pieces": 6, "cores": 4.0, "guessS": 40.0} | fields))
     assert world.accepted("j-1", "c0")
     assert world.run_until(lambda: len(world.rules.on_machines()) == 6, 30)
@@ -272,3 +326,73 @@
     world.cloud.down = True
     world.run(60)
     assert gone not in controller.machines
+
+
+def deafen(world: World) -> Worker:
+    """The answers to one machine get lost while its reports arrive, and the cloud takes no returns."""
+    worker, _ = world.rules.on_machines()[0]
+    world.deaf.add(worker.host)
+    world.cloud.down = True
+    return worker
+
+
+def launches_while_deaf(world: World) -> int:
+    """How many launches went to a machine whose lease had run out because it hears nothing."""
+    worker = deafen(world)
+    world.run(10)
+    assert worker.tenure > 1 and not worker.tasks
+    world.submit("j-2", pieces=24, cores=2.0, guessS=30.0)
+    assert world.accepted("j-2", "c0")
+    controller = world.nodes["c0"].controller
+    assert controller is not None and controller.part is not None
+    agent, most = controller.part.agents[worker.host], 0
+    for _ in range(200):
+        world.run(0.1)
+        most = max(most, sum(entry.phase.value == "sent" for entry in agent.entries.values()))
+    return most
+
+
+def test_nothing_is_started_on_a_machine_that_does_not_hear() -> None:
+    world = busy_world(members=1, guessS=60.0)
+    assert launches_while_deaf(world) == 0
+    world.heal()
+    world.cloud.down = False
+    assert world.run_until(lambda: world.done("j-1") and world.done("j-2"), 200)
+    assert world.rules.broken == []
+
+
+def test_without_that_guard_launches_go_where_nobody_hears(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Part, "_become_deaf", lambda self, agent, now: None)
+    assert launches_while_deaf(busy_world(members=1, guessS=60.0)) > 0
+
+
+def test_a_cancellation_ends_in_time_on_a_machine_that_does_not_hear() -> None:
+    world = busy_world(guessS=500.0)
+    deafen(world)
+    assert world.run_until(lambda: world.cancel("j-1", "c1"), 10)
+    for _ in range(250):
+        world.run(0.1)
+        world.rules.check()
+    assert world.rules.broken == [] and not world.rules.on_machines()
+
+
+def test_a_member_that_is_unheard_for_long_loses_no_machines() -> None:
+    """The controllers refuse each other's connections: that a machine's owner is not heard says nothing of it."""
+    world = busy_world(guessS=200.0)
+    before = {worker.host for worker, _ in world.rules.on_machines()}
+    for one in world.names:
+        for other in world.names:
+            world.cut(one, other)
+    world.run(40)
+    assert {worker.host for worker, _ in world.rules.on_machines()} == before
+
+
+def test_a_user_at_a_controller_that_lost_the_state_service_is_told_at_once() -> None:
+    world = busy_world(guessS=60.0)
+    world.isolate("c1", *world.workers)
+    world.run(4)
+    got: list[tuple[int, dict[str, str]]] = []
+    body = json.dumps(job("j-5")).encode()
+    world.ask("c1", lambda c: c.desk.submit(body, lambda status, said, headers: got.append((status, headers))))
+    world.ask("c1", lambda c: c.desk.poll("j-1", lambda status, said, headers: got.append((status, headers))))
+    assert [(status, "Retry-After" in headers) for status, headers in got] == [(503, True)] * 2
--- a/tests/world.py
+++ b/tests/world.py
@@ -7,6 +7,7 @@
 import itertools
 import json
 import random
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import UTC, datetime, timedelta
@@ -41,6 +42,11 @@
         self.hold_mode = False
         self.loss = 0.0
         self.repeat = 0.0
+        self.late_reports = 0.0
+        self.deaf: set[str] = set()
+        self.calls: Counter[str] = Counter()
+        self.sent_bytes: Counter[str] = Counter()
+        self.limits = {"rps": 300.0, "write_rps": 150.0, "value_kb": 16.0, "txn_ops": 12}
         self.teams = teams or {"team": 0.0}
         self.state = StateService(self)
         self.cloud = CloudService(self, capacity)
@@ -80,6 +86,7 @@
 
     def heal(self) -> None:
         self.cuts.clear()
+        self.deaf.clear()
         held, self.holding = self.holding, []
         for deliver in held:
             self.after(5 * MS, deliver)
@@ -105,7 +112,7 @@
 
         def answer(status: int, body: Any) -> None:
             raw = body if isinstance(body, bytes) else json.dumps(body).encode()
-            if self._open(source, target) and self.rng.random() >= self.loss:
+            if self._open(source, target) and source not in self.deaf and self.rng.random() >= self.loss:
                 self.after(self._delay(), lambda: finish(Reply(status, raw)))
 
         def deliver() -> None:
@@ -117,6 +124,9 @@
 
         if self.rng.random() >= self.loss:
             self.after(self._delay(), deliver)
+        if source in self.workers and self.rng.random() < self.late_reports:
+            # A copy of a report, from seconds to well over a lease late.
+            self.after(self.rng.uniform(1, 40) * S, lambda: request(lambda status, body: None))
         if self.rng.random() < self.repeat:
             self.after(self.rng.random() * 20 * S, lambda: request(lambda status, body: None))
         self.after(timeout, lambda: finish(None))
@@ -217,6 +227,9 @@
             if self.alive:
                 done(reply)
 
+        self.world.calls[method + " " + urlsplit(target).path.split("/")[1]] += 1
+        self.world.sent_bytes[address] += len(body)
+
         def request(answer: Answer) -> None:
             if address == STATE:
                 self.world.state.handle(self.node.name, method, target, body, answer)
@@ -254,7 +267,7 @@
                         "nodes": len(names), "zones": ["a", "b"], "objectives": [],
                         "teams": [{"name": n, "cpus_max": most} for n, most in self.world.teams.items()],
                         "workers": {"report_s": 1.0, "lease_s": 8.0, "cancel_s": 20.0},
-                        "state": {"rps": 300.0, "write_rps": 150.0, "value_kb": 16.0, "txn_ops": 12},
+                        "state": self.world.limits,
                         "cloud": {"rps": 20.0, "list_lag_s": 2.0},
                         "quota": {"cpu": 1.0, "ram_mb": 200.0, "fd_limit": 1000},
                     },
@@ -381,6 +394,7 @@
     def __init__(self, world: World, capacity: int) -> None:
         self.world = world
         self.capacity = capacity
+        self.boots = (1.0, 6.0)
         self.down = False
         self.hires: dict[str, list[str]] = {}
         self.listed: dict[str, dict[str, Any]] = {}
@@ -415,14 +429,19 @@
         if sum(worker.alive for worker in self.world.workers.values()) >= self.capacity:
             answer(503, {"error": "no capacity"})
             return
+        room = self.capacity - sum(worker.alive for worker in self.world.workers.values())
+        hosts = [self._machine(wish) for _ in range(min(wish["howMany"], room))]
+        self.hires[wish["hire"]] = hosts
+        answer(200, {"hosts": hosts})
+
+    def _machine(self, wish: dict[str, Any]) -> str:
         host = f"vm-{next(self._number):06d}"
-        self.hires[wish["hire"]] = [host]
         worker = Worker(self.world, host, wish["yard"], wish["loaners"])
         self.world.workers[host] = worker
-        self.world.after(self.world.rng.uniform(1, 6) * S, worker.boot)
+        self.world.after(self.world.rng.uniform(*self.boots) * S, worker.boot)
         row = {"ref": host, "rig": "m", "yard": wish["yard"], "loaners": wish["loaners"], "status": "running"}
         self.world.after(2 * S, lambda: self.listed.setdefault(host, row) and None if worker.alive else None)
-        answer(200, {"hosts": [host]})
+        return host
 
 
 @dataclass
