--- a/src/ramptide/placement.py
+++ b/src/ramptide/placement.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
+from enum import IntEnum
 from typing import Any
 
 from ramptide import wire
@@ -82,15 +83,25 @@
     return run.pieces
 
 
-def usable(run: wire.Run, rooms: Iterable[Room], placed: Mapping[str, int], any_room: bool = False) -> list[Room]:
-    """The rooms that may take a task of the job now. `any_room`: even what is kept for services."""
+class Reach(IntEnum):
+    """Which of the room that is kept for services an array may use, by how long it has waited."""
+
+    NONE = 0
+    POOL = 1
+    ALL = 2
+
+
+def usable(
+    run: wire.Run, rooms: Iterable[Room], placed: Mapping[str, int], reach: Reach = Reach.NONE
+) -> list[Room]:
+    """The rooms that may take a task of the job now."""
     found = [
         room
         for room in rooms
         if room.cores + EPSILON >= run.cores
         and room.ram_gb + EPSILON >= run.ram_gb
         and may_use(run, room.flavor, room.yard, room.spot)
-        and (any_room or not room.kept or run.shape == wire.SERVICE)
+        and (not room.kept or run.shape == wire.SERVICE or reach is Reach.ALL or room.idle and reach is Reach.POOL)
         and room.fits(run)
         and zone_room(run, room.yard, placed)
     ]
@@ -105,17 +116,19 @@
     return found
 
 
-def choose(run: wire.Run, rooms: Iterable[Room], placed: Mapping[str, int], any_room: bool = False) -> Room | None:
+def choose(
+    run: wire.Run, rooms: Iterable[Room], placed: Mapping[str, int], reach: Reach = Reach.NONE
+) -> Room | None:
     """The machine for the next task of a job, or None when none has room."""
-    return min(usable(run, rooms, placed, any_room), key=lambda room: _preference(run, room), default=None)
+    return min(usable(run, rooms, placed, reach), key=lambda room: _preference(run, room), default=None)
 
 
 def choose_many(
-    run: wire.Run, rooms: Iterable[Room], placed: Mapping[str, int], tasks: int, any_room: bool = False
+    run: wire.Run, rooms: Iterable[Room], placed: Mapping[str, int], tasks: int, reach: Reach = Reach.NONE
 ) -> Iterator[tuple[Room, int]]:
     """Machines for many tasks of an array, each filled before the next: one walk of the rooms for all tasks."""
     here = Counter(placed)
-    for room in sorted(usable(run, rooms, placed, any_room), key=lambda one: _preference(run, one)):
+    for room in sorted(usable(run, rooms, placed, reach), key=lambda one: _preference(run, one)):
         count = min(room.fits(run), tasks, zone_room(run, room.yard, here))
         if count > 0:
             here[room.yard] += count
@@ -135,14 +148,16 @@
 def _preference(run: wire.Run, room: Room) -> tuple[bool | float | str, ...]:
     """Lowest is best. A busy machine goes before an idle one, so that machines empty.
 
-    People wait for services: those take a machine that holds the image and whose worker waits for our
-    answer (see `agents`), so that nothing is left to wait for; then the tightest fit. Arrays keep off
+    Services go together: first to machines that run only services, where their images are soon all cached, whose
+    workers wait for our answer (see `agents`), and which empty one after the other when services end; there, to one
+    that holds the image; then the tightest fit. Arrays keep off
     these machines, take spot ones where they may, and fill machines in one fixed order, so that the last
     ones empty.
     """
     missing = run.image not in room.images
     if run.shape == wire.SERVICE:
-        return (missing, not room.quick, room.spot, room.idle, room.cores - run.cores, room.host)
+        together = room.kept and not room.idle
+        return (not together, missing, not room.quick, room.spot, room.idle, room.cores - run.cores, room.host)
     return (run.spot and not room.spot, room.quick and not room.idle, missing, room.idle, room.host)
 
 
--- a/src/ramptide/starts.py
+++ b/src/ramptide/starts.py
@@ -18,7 +18,7 @@
 from ramptide.floor import Host
 from ramptide.jobs import Home, Work, urgency
 from ramptide.membership import View
-from ramptide.placement import EPSILON, Room, choose, choose_many, fill, needs
+from ramptide.placement import EPSILON, Reach, Room, choose, choose_many, fill, needs
 from ramptide.preemption import OnMachine, may_claim, victims
 from ramptide.records import JOB, Handover, to_value
 from ramptide.store import Outcome, Txn
@@ -33,6 +33,8 @@
 PREEMPT_EVERY = timedelta(milliseconds=500)
 EVICTION_KEPT = timedelta(seconds=5)
 EVICTIONS_AT_ONCE = 40
+#: Long waits after which an array takes any room.
+VERY_LONG = 6
 
 
 @dataclass(slots=True)
@@ -98,10 +100,10 @@
         using = home.held()
         hopeless: set[tuple[object, ...]] = set()
         for work in works:
-            any_room = work.waiting_since is not None and now - work.waiting_since > c.tuning.long_wait
-            key = (needs(work.job.run), any_room)
+            reach = self._reach(work, now)
+            key = (needs(work.job.run), reach)
             if key not in hopeless:
-                left = self._place_work(home, work, rooms, using, any_room, now)
+                left = self._place_work(home, work, rooms, using, reach, now)
                 if left and not work.shunned and not work.job.run.one_zone and not work.job.run.spread:
                     hopeless.add(key)
             if work.waiting == 0:
@@ -109,8 +111,15 @@
             elif work.waiting_since is None:
                 work.waiting_since = now
 
+    def _reach(self, work: Work, now: timedelta) -> Reach:
+        """With no capacity to be had an idle pool helps nobody; the services' own machines are given up last."""
+        waited = now - work.waiting_since if work.waiting_since is not None else ZERO
+        if waited > self._c.tuning.long_wait * VERY_LONG:
+            return Reach.ALL
+        return Reach.POOL if waited > self._c.tuning.long_wait else Reach.NONE
+
     def _place_work(
-        self, home: Home, work: Work, rooms: list[Room], using: dict[str, Amounts], any_room: bool, now: timedelta
+        self, home: Home, work: Work, rooms: list[Room], using: dict[str, Amounts], reach: Reach, now: timedelta
     ) -> bool:
         """Starts what it can of one job; True when that failed for want of room."""
         run = work.job.run
@@ -121,7 +130,7 @@
         before, short = work.waiting, False
         if run.shape == wire.SERVICE:
             while allowed > 0 and work.next_task() is not None:
-                room = choose(run, rooms, work.yards, any_room)
+                room = choose(run, rooms, work.yards, reach)
                 if room is None:
                     short = True
                     break
@@ -129,7 +138,7 @@
                 allowed -= 1
         else:
             want = min(allowed, work.waiting)
-            for room, count in choose_many(run, rooms, work.yards, want, any_room) if want > 0 else ():
+            for room, count in choose_many(run, rooms, work.yards, want, reach) if want > 0 else ():
                 for _ in range(count):
                     if work.next_task() is None:
                         break
@@ -146,6 +155,8 @@
         assert task is not None
         home.start(work, task, room.host, room.yard, now)
         room.take(work.job.run)
+        service = work.job.run.shape == wire.SERVICE
+        room.kept = service and not room.spot and (room.kept or room.idle)
         room.idle = False
         self._c.floor.touch(room.host)
 
--- a/src/ramptide/store.py
+++ b/src/ramptide/store.py
@@ -15,7 +15,7 @@
 
 PATIENCE = {
     Rank.LEASE: timedelta(seconds=4),
-    Rank.COMMIT: timedelta(seconds=4),
+    Rank.COMMIT: timedelta(seconds=2),
     Rank.READ: timedelta(seconds=1.2),
     Rank.HOUSEKEEPING: timedelta(seconds=5),
 }
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -8,7 +8,7 @@
 from world import job
 
 from ramptide import wire
-from ramptide.placement import Room, can_ever_run, choose, fill, may_use, zone_room
+from ramptide.placement import Reach, Room, can_ever_run, choose, fill, may_use, zone_room
 from ramptide.preemption import OnMachine, may_claim, victims
 
 
@@ -120,10 +120,15 @@
     cold = room("vm-0", quick=True, kept=True)
     warm = room("vm-1", quick=True, kept=True, images=frozenset(["img"]))
     mixed = room("vm-2", images=frozenset(["img"]))
-    assert choose(run_of(shape="service"), [cold, warm, mixed], {}) is warm
-    assert choose(run_of(), [cold, warm, mixed], {}) is mixed
-    assert choose(run_of(), [cold, warm], {}) is None
-    assert choose(run_of(), [cold, warm], {}, any_room=True) is warm, "after a long wait"
+    pool = room("vm-3", quick=True, kept=True, idle=True, images=frozenset(["img"]))
+    assert choose(run_of(shape="service"), [cold, warm, mixed, pool], {}) is warm
+    assert choose(run_of(shape="service"), [cold, mixed, pool], {}) is cold, "services go together"
+    assert choose(run_of(shape="service"), [mixed, pool], {}) is pool
+    assert choose(run_of(), [cold, warm, mixed, pool], {}) is mixed
+    assert choose(run_of(), [cold, warm, pool], {}) is None
+    assert choose(run_of(), [cold, warm, pool], {}, Reach.POOL) is pool, "after a long wait"
+    assert choose(run_of(), [cold, warm], {}, Reach.POOL) is None
+    assert choose(run_of(), [cold, warm], {}, Reach.ALL) is warm, "after a very long one"
 
 
 def test_who_gives_way() -> None:
