--- a/src/ramptide/jobs.py
+++ b/src/ramptide/jobs.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Container, Iterable, Iterator
 from dataclasses import dataclass, field
 from datetime import UTC, datetime, timedelta
+from enum import IntEnum
 from typing import Any
 
 from ramptide import wire
@@ -20,6 +21,9 @@
 BACKOFF_MOST = timedelta(seconds=60)
 SHUN = timedelta(seconds=60)
 REFUSED_PAUSE = timedelta(milliseconds=300)
+FAR = datetime.max.replace(tzinfo=UTC)
+#: Guesses are often too long by half; a job is given up as late only when even a shorter run would be.
+HOPEFUL = 0.7
 
 class Job:
     """A job that is not over, as the state service has it."""
@@ -80,11 +84,18 @@
     backoff: timedelta = ZERO
     hold: timedelta = ZERO
     waiting_since: timedelta | None = None
+    started_at: timedelta | None = None
 
     @property
     def waiting(self) -> int:
         return self.job.run.pieces - self.done.count - len(self.placed)
 
+    def idle_for(self, now: timedelta, wall: datetime) -> timedelta:
+        """How long nothing of it was started."""
+        if self.started_at is None and not self.placed and not self.done.count:
+            return wall - self.job.submitted
+        return now - (self.started_at or self.since)
+
     @property
     def dirty(self) -> bool:
         return self.done.count != self.job.progress.count
@@ -204,6 +215,7 @@
 
     def start(self, work: Work, task: int, host: str, yard: str, now: timedelta) -> Attempt:
         self._next_attempt += 1
+        work.started_at = now
         attempt = Attempt(work.job.run, task, self._next_attempt, host, yard, Wish.RUN, self.seq + 1, now)
         self._hold(work, attempt)
         return attempt
@@ -374,19 +386,42 @@
     return total
 
 
-def urgency(job: Job, now: datetime, prompt: Container[str]) -> tuple[Any, ...]:
-    """Sort key: rank, then the classes that are to start promptly, then who can still make a deadline by that
+class Chance(IntEnum):
+    """What a job that waits can still make, going by its owner's guess of a task's run time."""
+
+    STARVED = 0
+    IN_TIME = 1
+    LATE = 2
+    TOO_LATE = 3
+
+
+def chance(job: Job, idle: timedelta, now: datetime, patience: timedelta) -> Chance:
+    """Room goes first to what can still be in time: under pressure, what is lost already must not take others along.
+    A job of which nothing was started for long goes before all with a few tasks, so that none waits for ever."""
+    if job.run.shape == wire.SERVICE:
+        return Chance.IN_TIME
+    if idle > patience:
+        return Chance.STARVED
+    if job.due is None:
+        return Chance.IN_TIME
+    end = now + timedelta(seconds=job.run.guess_s * HOPEFUL)
+    if end <= job.due:
+        return Chance.IN_TIME
+    return Chance.LATE if end <= job.due + (job.due - job.submitted) / 2 else Chance.TOO_LATE
+
+
+def urgency(
+    job: Job, idle: timedelta, now: datetime, prompt: Container[str], patience: timedelta
+) -> tuple[Any, ...]:
+    """Sort key: rank, then the classes that are to start promptly, then by what can still be made, each by its
     deadline, then the order of submission."""
     run = job.run
-    due = job.due
-    late = due is not None and due < now
-    far = datetime.max.replace(tzinfo=UTC)
     return (
         -wire.RANKS.index(run.rank),
         run.job_class not in prompt,
         run.shape != wire.SERVICE,
-        late,
-        due if due is not None and not late else far,
+        chance(job, idle, now, patience),
+        job.due or FAR,
         job.submitted,
         run.ref,
     )
--- a/src/ramptide/settings.py
+++ b/src/ramptide/settings.py
@@ -67,6 +67,7 @@
     "boot_factor": Bound(1, 100, "times the usual boot time after which a machine that is not up is returned"),
     "silent_leases": Bound(1.1, 100, "leases of silence after which a machine is returned"),
     "sick_jobs": Bound(1, 100, "different jobs failing in a row that make a machine sick"),
+    "patience": Bound(1, 86400, "seconds without a start after which a tenth of a job goes before others of its rank"),
     "hand_over": Bound(0, 600, "seconds that a task waits in a part before its job goes to the leader"),
     "list_every": Bound(1, 600, "seconds between two readings of the cloud's list"),
     "preempt_after": Bound(0, 600, "seconds without room after which a job claims room that others must give up"),
@@ -91,6 +92,7 @@
     boot_factor: float = 3.0
     silent_leases: float = 1.3
     sick_jobs: int = 2
+    patience: timedelta = timedelta(seconds=120)
     hand_over: timedelta = timedelta(seconds=1)
     list_every: timedelta = timedelta(seconds=4)
     preempt_after: timedelta = timedelta(seconds=2)
--- a/src/ramptide/starts.py
+++ b/src/ramptide/starts.py
@@ -6,9 +6,9 @@
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
-from datetime import timedelta
+from datetime import datetime, timedelta
 from functools import partial
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
@@ -16,7 +16,7 @@
 from ramptide.allowances import NO_LIMIT, NOTHING, Amounts, add_amounts, limited, limits_of
 from ramptide.fleet import Demand, Machine
 from ramptide.floor import Host
-from ramptide.jobs import Home, Work, urgency
+from ramptide.jobs import Chance, Home, Job, Work, chance, urgency
 from ramptide.membership import View
 from ramptide.placement import EPSILON, Reach, Room, choose, choose_many, fill, needs
 from ramptide.preemption import OnMachine, may_claim, victims
@@ -33,6 +33,8 @@
 PREEMPT_EVERY = timedelta(milliseconds=500)
 EVICTION_KEPT = timedelta(seconds=5)
 EVICTIONS_AT_ONCE = 40
+#: What a job that waited out its patience gets ahead of the others.
+SLICE = 0.1
 #: Long waits after which an array takes any room.
 VERY_LONG = 6
 
@@ -96,7 +98,7 @@
         least = min(work.job.run.cores for work in works)
         rooms = [room for room in self.rooms(not c.membership.leading) if room.cores + EPSILON >= least]
         wall = c.context.wall()
-        works.sort(key=lambda work: urgency(work.job, wall, c.prompt))
+        works.sort(key=lambda work: self._urgency(work.job, work.idle_for(now, wall), wall))
         using = home.held()
         hopeless: set[tuple[object, ...]] = set()
         for work in works:
@@ -111,6 +113,9 @@
             elif work.waiting_since is None:
                 work.waiting_since = now
 
+    def _urgency(self, job: Job, idle: timedelta, wall: datetime) -> tuple[Any, ...]:
+        return urgency(job, idle, wall, self._c.prompt, self._c.tuning.patience)
+
     def _reach(self, work: Work, now: timedelta) -> Reach:
         """With no capacity to be had an idle pool helps nobody; the services' own machines are given up last."""
         waited = now - work.waiting_since if work.waiting_since is not None else ZERO
@@ -138,6 +143,9 @@
                 allowed -= 1
         else:
             want = min(allowed, work.waiting)
+            wall = self._c.context.wall()
+            if chance(work.job, work.idle_for(now, wall), wall, self._c.tuning.patience) is Chance.STARVED:
+                want = min(want, math.ceil(run.pieces * SLICE))
             for room, count in choose_many(run, rooms, work.yards, want, reach) if want > 0 else ():
                 for _ in range(count):
                     if work.next_task() is None:
@@ -218,7 +226,7 @@
         using = self.team_use()
         held = home.held()
         hopeless: set[tuple[object, ...]] = set()
-        for work in sorted(claims, key=lambda one: urgency(one.job, wall, c.prompt)):
+        for work in sorted(claims, key=lambda one: self._urgency(one.job, one.idle_for(now, wall), wall)):
             run = work.job.run
             key = (needs(run), run.rank, run.team)
             if key in hopeless or len(self.evictions) >= EVICTIONS_AT_ONCE:
@@ -386,7 +394,7 @@
                 # A job that was handed over to us may still be in its old home's last message.
                 rows += [(row, Counter()) for row in said.waiting if row[0] not in home.works]
         found = [(c.jobs[row[0]], row, placed) for row, placed in rows if row[0] in c.jobs]
-        found.sort(key=lambda one: urgency(one[0], wall, c.prompt))
+        found.sort(key=lambda one: self._urgency(one[0], timedelta(seconds=one[1][2]), wall))
         demands = []
         for job, row, placed in found:
             run = job.run
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -2,14 +2,17 @@
 
 import itertools
 import json
+from datetime import UTC, datetime, timedelta
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from world import job
 
 from ramptide import wire
+from ramptide.jobs import Job, urgency
 from ramptide.placement import Reach, Room, can_ever_run, choose, fill, may_use, zone_room
 from ramptide.preemption import OnMachine, may_claim, victims
+from ramptide.records import JobRecord, Progress
 
 
 def run_of(**fields: object) -> wire.Run:
@@ -152,3 +155,25 @@
     cheaper = victims(run_of(rank="high"), room, [*tasks, OnMachine(saves, 3, 4)], lambda run: True, {})
     assert cheaper is not None and [task.attempt for task in cheaper[1]] == [4] and cheaper[0] < found[0]
     assert victims(run_of(rank="high"), room, tasks, lambda run: False, {}) is None
+
+
+def test_room_goes_first_to_what_can_still_be_in_time() -> None:
+    now = datetime(2026, 1, 1, tzinfo=UTC)
+
+    def aged(seconds: float, **fields: object) -> Job:
+        run = run_of(**({"guessS": 20.0, "dueS": 60.0} | fields))
+        return Job("j-1", JobRecord(run, "c0", 1, now.timestamp() - seconds, Progress().encode()), 1)
+
+    def order(*jobs: tuple[Job, float]) -> list[int]:
+        """By index; with each job the seconds since something of it was started."""
+        patience = timedelta(seconds=120)
+        key = [urgency(one, timedelta(seconds=idle), now, {"prompt"}, patience) for one, idle in jobs]
+        return sorted(range(len(jobs)), key=lambda n: key[n])
+
+    late, too_late, fresh, soon = aged(50), aged(85), aged(5), aged(40)
+    assert order((late, 1), (too_late, 1), (fresh, 5), (soon, 40)) == [3, 2, 0, 1]
+    old = aged(140)
+    assert order((fresh, 5), (old, 130), (old, 9)) == [1, 0, 2], "the largest begin in the end"
+    service, high = aged(1, shape="service", dueS=None), aged(90, rank="high")
+    assert order((old, 130), (service, 1), (high, 9)) == [2, 1, 0]
+    assert order((fresh, 5), (aged(1, jobclass="prompt"), 1)) == [1, 0]
