--- a/src/ramptide/floor.py
+++ b/src/ramptide/floor.py
@@ -166,7 +166,7 @@
         size = (flavor.cores, flavor.cards, flavor.ram_gb)
         room = Room(name, record.flavor, record.yard, record.spot, *size, frozenset(host.images))
         shown: set[EntryId] = set()
-        services_only = True
+        services = False
         for ref, task, number, phase, _cause in host.tasks:
             if Phase(phase) in OVER:
                 continue
@@ -176,18 +176,18 @@
                 self._unclear.add(name)
                 return None
             room.take(run)
-            services_only = services_only and run.shape == wire.SERVICE
+            services = services or run.shape == wire.SERVICE
             shown.add((ref, task, number))
         busy = bool(shown)
         for attempt in self._attempts(name):
             if attempt.key not in shown and attempt.phase not in OVER:
                 room.take(attempt.run)
-                services_only = services_only and attempt.run.shape == wire.SERVICE
+                services = services or attempt.run.shape == wire.SERVICE
                 busy = True
         room.idle = not busy
         room.quick = host.quick
-        # Services are what people wait for: the pool and the machines that run only services are theirs.
-        room.kept = not record.spot and (name in self.pool or busy and services_only)
+        # Services are what people wait for: the pool is theirs, and a machine that runs one takes no more arrays.
+        room.kept = not record.spot and (name in self.pool or services)
         return room
 
     def free(self, names: Iterable[str] | None = None) -> Iterator[Room]:
--- a/src/ramptide/starts.py
+++ b/src/ramptide/starts.py
@@ -35,8 +35,6 @@
 EVICTIONS_AT_ONCE = 40
 #: What a job that waited out its patience gets ahead of the others.
 SLICE = 0.1
-#: Long waits after which an array takes any room.
-VERY_LONG = 6
 
 
 @dataclass(slots=True)
@@ -102,7 +100,7 @@
         using = home.held()
         hopeless: set[tuple[object, ...]] = set()
         for work in works:
-            reach = self._reach(work, now)
+            reach = self._reach(work, now, wall)
             key = (needs(work.job.run), reach)
             if key not in hopeless:
                 left = self._place_work(home, work, rooms, using, reach, now)
@@ -116,13 +114,16 @@
     def _urgency(self, job: Job, idle: timedelta, wall: datetime) -> tuple[Any, ...]:
         return urgency(job, idle, wall, self._c.prompt, self._c.tuning.patience)
 
-    def _reach(self, work: Work, now: timedelta) -> Reach:
+    def _reach(self, work: Work, now: timedelta, wall: datetime) -> Reach:
         """With no capacity to be had an idle pool helps nobody; the services' own machines are given up last."""
-        waited = now - work.waiting_since if work.waiting_since is not None else ZERO
-        if waited > self._c.tuning.long_wait * VERY_LONG:
+        if self._starved(work, now, wall):
             return Reach.ALL
+        waited = now - work.waiting_since if work.waiting_since is not None else ZERO
         return Reach.POOL if waited > self._c.tuning.long_wait else Reach.NONE
 
+    def _starved(self, work: Work, now: timedelta, wall: datetime) -> bool:
+        return chance(work.job, work.idle_for(now, wall), wall, self._c.tuning.patience) is Chance.STARVED
+
     def _place_work(
         self, home: Home, work: Work, rooms: list[Room], using: dict[str, Amounts], reach: Reach, now: timedelta
     ) -> bool:
@@ -143,8 +144,7 @@
                 allowed -= 1
         else:
             want = min(allowed, work.waiting)
-            wall = self._c.context.wall()
-            if chance(work.job, work.idle_for(now, wall), wall, self._c.tuning.patience) is Chance.STARVED:
+            if reach is Reach.ALL:
                 want = min(want, math.ceil(run.pieces * SLICE))
             for room, count in choose_many(run, rooms, work.yards, want, reach) if want > 0 else ():
                 for _ in range(count):
@@ -164,7 +164,7 @@
         home.start(work, task, room.host, room.yard, now)
         room.take(work.job.run)
         service = work.job.run.shape == wire.SERVICE
-        room.kept = service and not room.spot and (room.kept or room.idle)
+        room.kept = not room.spot and (room.kept and not room.idle or service)
         room.idle = False
         self._c.floor.touch(room.host)
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -131,7 +131,7 @@
     assert choose(run_of(), [cold, warm, pool], {}) is None
     assert choose(run_of(), [cold, warm, pool], {}, Reach.POOL) is pool, "after a long wait"
     assert choose(run_of(), [cold, warm], {}, Reach.POOL) is None
-    assert choose(run_of(), [cold, warm], {}, Reach.ALL) is warm, "after a very long one"
+    assert choose(run_of(), [cold, warm], {}, Reach.ALL) is warm, "what waited out its patience"
 
 
 def test_who_gives_way() -> None:
