--- a/src/ramptide/app.py
+++ b/src/ramptide/app.py
@@ -160,8 +160,8 @@
         elif path == FLAVORS:
             self._take_flavors(value)
         elif path == SETTINGS:
-            self.tuning = Tuning.from_value(value)
-            self.floor.sick_jobs = self.tuning.sick_jobs
+            self.tuning = self.floor.tuning = Tuning.from_value(value)
+            self.floor.touch_all()
             log.info("settings changed")
         else:
             self.membership.on_change(path, value, stamp)
--- a/src/ramptide/floor.py
+++ b/src/ramptide/floor.py
@@ -10,6 +10,7 @@
 from ramptide.jobs import Attempt, Job
 from ramptide.placement import Room
 from ramptide.records import MachineRecord
+from ramptide.settings import Tuning
 
 ZERO = timedelta(0)
 
@@ -47,7 +48,7 @@
         self._flavors = flavors
         self._jobs = jobs
         self._attempts = attempts
-        self.sick_jobs = 2
+        self.tuning = Tuning()
         self.hosts: dict[str, Host] = {}
         self.rooms: dict[str, Room] = {}
         self.running: Counter[str] = Counter()
@@ -161,7 +162,7 @@
         flavor = self._flavors.get(record.flavor)
         if flavor is None or record.leaving is not None or host.leaving or host.notice is not None:
             return None
-        if host.quiet or host.deaf_since is not None or host.failing >= self.sick_jobs:
+        if host.quiet or host.deaf_since is not None or host.failing >= self.tuning.sick_jobs:
             return None
         size = (flavor.cores, flavor.cards, flavor.ram_gb)
         room = Room(name, record.flavor, record.yard, record.spot, *size, frozenset(host.images))
@@ -186,8 +187,10 @@
                 busy = True
         room.idle = not busy
         room.quick = host.quick
-        # Services are what people wait for: the pool is theirs, and a machine that runs one takes no more arrays.
-        room.kept = not record.spot and (name in self.pool or services)
+        # Services are what people wait for: the pool is theirs, and part of the machines that run some.
+        room.kept = not record.spot and name in self.pool
+        room.services = services
+        room.share = (flavor.cores * self.tuning.service_share, flavor.ram_gb * self.tuning.service_share)
         return room
 
     def free(self, names: Iterable[str] | None = None) -> Iterator[Room]:
--- a/src/ramptide/leader.py
+++ b/src/ramptide/leader.py
@@ -10,6 +10,7 @@
 from ramptide.cloud import RETURN_MOST
 from ramptide.context import Handle
 from ramptide.fleet import Fleet, Plan
+from ramptide.limits import Rank
 from ramptide.membership import VIEW
 from ramptide.records import FLAVORS, RENTAL, HostRecord, RentalRecord, to_value
 from ramptide.store import Outcome, Txn
@@ -153,7 +154,8 @@
             self._c.mirror.applied(outcome.epoch, txn.puts, txn.drops)
             self._ask_again()
 
-        self._c.store.txn(txn, done)
+        # A few changes a second that all else waits for: they do not queue behind the users' commits.
+        self._c.store.txn(txn, done, Rank.LEASE)
 
     # Rentals.
 
@@ -176,7 +178,9 @@
                 self.fleet.rented(kind)
                 self._c.counters["rentals"] += len(hosts)
                 if len(hosts) < rental.count:
+                    # No more of this kind: the step goes on with the next best one.
                     self.fleet.refused(kind, self._c.context.now)
+                    self._step()
             elif refused:
                 log.info("no capacity for %s in %s%s", kind[0], kind[1], ", spot" if kind[2] else "")
                 self._refused.add(name)
--- a/src/ramptide/placement.py
+++ b/src/ramptide/placement.py
@@ -9,13 +9,15 @@
 from ramptide import wire
 
 EPSILON = 1e-6
+OPEN_FOR = 4
 
 
 @dataclass(slots=True)
 class Room:
     """What is free on a machine, and what matters for choosing it.
 
-    `quick`: its worker waits for our answer, so a launch leaves at once. `kept`: for services only.
+    `quick`: its worker waits for our answer, so a launch leaves at once. `kept`: in the pool, for services only.
+    `services`: runs some, and arrays leave `share` (cores, memory) for more of them.
     """
 
     host: str
@@ -29,12 +31,17 @@
     idle: bool = False
     quick: bool = False
     kept: bool = False
+    services: bool = False
+    share: tuple[float, float] = (0.0, 0.0)
 
-    def fits(self, run: wire.Run) -> int:
+    def fits(self, run: wire.Run, reach: "Reach | None" = None) -> int:
         """How many tasks of the job this room takes."""
+        cores, ram = self.cores, self.ram_gb
+        if self.services and run.shape != wire.SERVICE and reach is not Reach.ALL:
+            cores, ram = cores - self.share[0], ram - self.share[1]
         counts = [
             int((free + EPSILON) / each)
-            for free, each in ((self.cores, run.cores), (self.cards, run.cards), (self.ram_gb, run.ram_gb))
+            for free, each in ((cores, run.cores), (self.cards, run.cards), (ram, run.ram_gb))
             if each > 0
         ]
         return max(0, min(counts)) if counts else run.pieces
@@ -102,7 +109,7 @@
         and room.ram_gb + EPSILON >= run.ram_gb
         and may_use(run, room.flavor, room.yard, room.spot)
         and (not room.kept or run.shape == wire.SERVICE or reach is Reach.ALL or room.idle and reach is Reach.POOL)
-        and room.fits(run)
+        and room.fits(run, reach) > 0
         and zone_room(run, room.yard, placed)
     ]
     if run.one_zone and not any(placed.values()):
@@ -129,7 +136,7 @@
     """Machines for many tasks of an array, each filled before the next: one walk of the rooms for all tasks."""
     here = Counter(placed)
     for room in sorted(usable(run, rooms, placed, reach), key=lambda one: _preference(run, one)):
-        count = min(room.fits(run), tasks, zone_room(run, room.yard, here))
+        count = min(room.fits(run, reach), tasks, zone_room(run, room.yard, here))
         if count > 0:
             here[room.yard] += count
             tasks -= count
@@ -148,16 +155,16 @@
 def _preference(run: wire.Run, room: Room) -> tuple[bool | float | str, ...]:
     """Lowest is best. A busy machine goes before an idle one, so that machines empty.
 
-    Services go together: first to machines that run only services, where their images are soon all cached, whose
-    workers wait for our answer (see `agents`), and which empty one after the other when services end; there, to one
-    that holds the image; then the tightest fit. Arrays keep off
-    these machines, take spot ones where they may, and fill machines in one fixed order, so that the last
-    ones empty.
+    Services go together, on machines where their images are soon all cached and which empty one after the other when
+    services end: there to one that holds the image, then one whose worker waits for our answer (see `agents`), then
+    the tightest fit. Another machine is opened where several more will fit. Arrays keep off the quick machines, take
+    spot ones where they may, and fill machines in one fixed order, so that the last ones empty.
     """
     missing = run.image not in room.images
     if run.shape == wire.SERVICE:
-        together = room.kept and not room.idle
-        return (not together, missing, not room.quick, room.spot, room.idle, room.cores - run.cores, room.host)
+        opens = not room.services
+        small = opens and room.fits(run) < OPEN_FOR
+        return (opens, small, missing, not room.quick, room.spot, room.idle, room.cores - run.cores, room.host)
     return (run.spot and not room.spot, room.quick and not room.idle, missing, room.idle, room.host)
 
 
--- a/src/ramptide/settings.py
+++ b/src/ramptide/settings.py
@@ -62,6 +62,7 @@
     "long_waiting_high": Bound(1, 1e6, "long-waiting tasks that count as high"),
     "cooldown": Bound(0, 3600, "quiet seconds after which an idle machine is returned"),
     "pool_size": Bound(0, 1000, "idle machines kept ready at least"),
+    "service_share": Bound(0, 1, "part of a machine that runs services which arrays leave free for more of them"),
     "pool_share": Bound(0, 1, "idle machines kept ready for each machine that is up"),
     "horizon": Bound(1, 86400, "seconds of work over which a machine's boot is paid off"),
     "boot_factor": Bound(1, 100, "times the usual boot time after which a machine that is not up is returned"),
@@ -88,6 +89,7 @@
     cooldown: timedelta = timedelta(seconds=20)
     pool_size: int = 1
     pool_share: float = 0.02
+    service_share: float = 0.25
     horizon: timedelta = timedelta(seconds=90)
     boot_factor: float = 3.0
     silent_leases: float = 1.3
--- a/src/ramptide/starts.py
+++ b/src/ramptide/starts.py
@@ -163,9 +163,8 @@
         assert task is not None
         home.start(work, task, room.host, room.yard, now)
         room.take(work.job.run)
-        service = work.job.run.shape == wire.SERVICE
-        room.kept = not room.spot and (room.kept and not room.idle or service)
-        room.idle = False
+        room.services = room.services or work.job.run.shape == wire.SERVICE
+        room.idle = room.kept = False
         self._c.floor.touch(room.host)
 
     def headroom(self, run: wire.Run, using: Amounts, most: Amounts) -> int:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -120,8 +120,8 @@
     def room(host: str, **fields: object) -> Room:
         return Room(host, "m", "a", False, 8.0, 0.0, 32.0, **fields)  # type: ignore[arg-type]
 
-    cold = room("vm-0", quick=True, kept=True)
-    warm = room("vm-1", quick=True, kept=True, images=frozenset(["img"]))
+    cold = room("vm-0", quick=True, services=True, share=(7.0, 0.0))
+    warm = room("vm-1", quick=True, services=True, share=(7.0, 0.0), images=frozenset(["img"]))
     mixed = room("vm-2", images=frozenset(["img"]))
     pool = room("vm-3", quick=True, kept=True, idle=True, images=frozenset(["img"]))
     assert choose(run_of(shape="service"), [cold, warm, mixed, pool], {}) is warm
@@ -132,6 +132,10 @@
     assert choose(run_of(), [cold, warm, pool], {}, Reach.POOL) is pool, "after a long wait"
     assert choose(run_of(), [cold, warm], {}, Reach.POOL) is None
     assert choose(run_of(), [cold, warm], {}, Reach.ALL) is warm, "what waited out its patience"
+    assert choose(run_of(cores=1.0), [cold, warm], {}) is warm, "beyond their share the rest is free for all"
+    small, large = room("vm-4", images=frozenset(["img"])), room("vm-5")
+    small.cores = 2.0
+    assert choose(run_of(shape="service"), [small, large], {}) is large, "opened for several"
 
 
 def test_who_gives_way() -> None:
