--- a/src/ramptide/agents.py
+++ b/src/ramptide/agents.py
@@ -64,6 +64,7 @@
 
 #: The attempt holds no room and is certainly not on the machine.
 OVER = frozenset({Phase.ENDED, Phase.REFUSED, Phase.GONE})
+OVER_NAMES = frozenset(phase.value for phase in OVER)
 #: The worker has shown the attempt.
 SHOWN = frozenset({Phase.FETCHING, Phase.RUNNING, Phase.FLUSHING, Phase.ENDED})
 
--- a/src/ramptide/app.py
+++ b/src/ramptide/app.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from ramptide import wire
-from ramptide.agents import DRIFT, OVER, HostRow, Part, Phase
+from ramptide.agents import DRIFT, OVER_NAMES, HostRow, Part
 from ramptide.allowances import Grants, limited
 from ramptide.cloud import Cloud
 from ramptide.commits import Commits
@@ -403,7 +403,7 @@
             host = self.floor.hosts.get(name)
             if host is None or not host.known or not host.settled:
                 return False
-            if any(row[0] not in self.jobs and Phase(row[3]) not in OVER for row in host.tasks):
+            if any(row[0] not in self.jobs and row[3] not in OVER_NAMES for row in host.tasks):
                 return False
         return True
 
--- a/src/ramptide/floor.py
+++ b/src/ramptide/floor.py
@@ -6,7 +6,7 @@
 from datetime import timedelta
 
 from ramptide import wire
-from ramptide.agents import OVER, EntryId, HostRow, Phase, TaskRow
+from ramptide.agents import OVER, OVER_NAMES, EntryId, HostRow, TaskRow
 from ramptide.jobs import Attempt, Job
 from ramptide.placement import Room
 from ramptide.records import MachineRecord
@@ -128,7 +128,7 @@
             if not self.running[ref]:
                 del self.running[ref]
         host.tasks = tasks
-        host.busy = sum(Phase(row[3]) not in OVER for row in tasks)
+        host.busy = sum(row[3] not in OVER_NAMES for row in tasks)
 
     def job_over(self, ref: str, run: wire.Run) -> None:
         if ref in self._where:
@@ -169,7 +169,7 @@
         shown: set[EntryId] = set()
         services = False
         for ref, task, number, phase, _cause in host.tasks:
-            if Phase(phase) in OVER:
+            if phase in OVER_NAMES:
                 continue
             run = self._run(ref)
             if run is None:
--- a/src/ramptide/jobs.py
+++ b/src/ramptide/jobs.py
@@ -24,6 +24,7 @@
 FAR = datetime.max.replace(tzinfo=UTC)
 #: Guesses are often too long by half; a job is given up as late only when even a shorter run would be.
 HOPEFUL = 0.7
+PHASES = {phase.value: phase for phase in Phase}
 
 class Job:
     """A job that is not over, as the state service has it."""
@@ -131,6 +132,8 @@
         #: Machines of which we wish something else than before, and jobs with results that are not written.
         self.wished: set[str] = set()
         self.results: set[str] = set()
+        #: Jobs of which some task is neither done nor placed.
+        self.hungry: dict[str, Work] = {}
         #: Attempts that their owners do not show; each is either on its way there or gone.
         self.unshown: dict[EntryId, Attempt] = {}
         self._next_attempt = first_attempt
@@ -165,6 +168,12 @@
             sign = 1 if counts else -1
             add_amounts(self._using, attempt.run.team, attempt.run.cores * sign, attempt.run.cards * sign)
 
+    def _weigh(self, work: Work) -> None:
+        if work.waiting > 0 and work.job.ref in self.works:
+            self.hungry[work.job.ref] = work
+        else:
+            self.hungry.pop(work.job.ref, None)
+
     # Which jobs are ours.
 
     def take_job(self, job: Job, now: timedelta) -> Work:
@@ -175,12 +184,15 @@
             self.touched = True
         elif work.job.progress.count > work.done.count:
             work.done = Progress(job.progress.low, job.progress.bits)
+        self._weigh(work)
         return work
 
     def leave_job(self, ref: str) -> None:
         """Another controller is the job's home now; the attempts are its affair."""
-        if self.works.pop(ref, None) is None:
+        work = self.works.pop(ref, None)
+        if work is None:
             return
+        self._weigh(work)
         for attempt in list(self._by_ref.get(ref, {}).values()):
             # Counted as ours until the new home says that it counts them, and lowers our allowance for it.
             self._remove(attempt)
@@ -195,6 +207,7 @@
         work = self.works.pop(ref, None)
         if work is None:
             return
+        self._weigh(work)
         self.results.discard(ref)
         for attempt in list(self._by_ref.get(ref, {}).values()):
             self._wish(attempt, Wish.REAP if attempt.phase in OVER else Wish.STOP, ZERO)
@@ -224,6 +237,7 @@
         self._add(attempt)
         work.placed[attempt.task] = attempt
         work.yards[attempt.yard] += 1
+        self._weigh(work)
 
     def stop(self, attempt: Attempt, grace: timedelta) -> None:
         if attempt.wish is Wish.RUN:
@@ -244,6 +258,7 @@
         work.yards[attempt.yard] -= 1
         if attempt.task not in work.done:
             heapq.heappush(work.again, attempt.task)
+        self._weigh(work)
         self.touched = True
 
     def _drop(self, attempt: Attempt) -> None:
@@ -264,13 +279,17 @@
         """Takes the owner's list for a machine."""
         shown: set[EntryId] = set()
         entries = self.attempts.get(host, {})
-        for ref, task, number, phase, cause in tasks:
+        for ref, task, number, name, cause in tasks:
             key = (ref, task, number)
+            attempt = entries.get(key)
+            if attempt is None and ref not in self.works:
+                continue
             shown.add(key)
-            attempt = entries.get(key) or self._found(host, yard, key, Phase(phase), now)
-            if attempt is not None:
-                self.unshown.pop(key, None)
-                self._advance(attempt, Phase(phase), cause, now)
+            phase = PHASES[name]
+            if attempt is None:
+                attempt = self._found(host, yard, key, phase, now)
+            self.unshown.pop(key, None)
+            self._advance(attempt, phase, cause, now)
         for key, attempt in self.attempts.get(host, {}).items():
             if key not in shown:
                 self.unshown[key] = attempt
@@ -299,11 +318,9 @@
             else:
                 del self.limbo[ref]
 
-    def _found(self, host: str, yard: str, key: EntryId, phase: Phase, now: timedelta) -> Attempt | None:
+    def _found(self, host: str, yard: str, key: EntryId, phase: Phase, now: timedelta) -> Attempt:
         """An attempt of a job of ours that an earlier home started."""
-        work = self.works.get(key[0])
-        if work is None:
-            return None
+        work = self.works[key[0]]
         attempt = Attempt(work.job.run, key[1], key[2], host, yard, Wish.RUN, self.seq + 1, now, phase)
         if phase not in OVER and (key[1] in work.done or key[1] in work.placed):
             self._add(attempt)
@@ -338,6 +355,7 @@
         work.backoff = ZERO
         if work.job.run.shape == wire.BATCH and work.done.add(attempt.task):
             self.results.add(attempt.run.ref)
+            self._weigh(work)
             self.touched = True
 
     def _task_failed(self, work: Work, attempt: Attempt, now: timedelta) -> None:
--- a/src/ramptide/peers.py
+++ b/src/ramptide/peers.py
@@ -109,11 +109,11 @@
         """There is news for it."""
         peer.due = min(peer.due, self._context.now + within)
 
-    def send(self, peer: Peer, sync: Sync) -> None:
+    def send(self, peer: Peer, sync: Sync, every: timedelta = EVERY) -> None:
         """One message is under way to a peer at a time; the next one carries all that is newer."""
         peer.busy = True
         sent, generation = self._context.now, self._generation
-        peer.due = sent + EVERY
+        peer.due = sent + every
 
         def done(reply: Reply | None) -> None:
             peer.busy = False
--- a/src/ramptide/placement.py
+++ b/src/ramptide/placement.py
@@ -168,8 +168,8 @@
     return (run.spot and not room.spot, room.quick and not room.idle, missing, room.idle, room.host)
 
 
-def fill(run: wire.Run, tasks: int, rooms: Iterable[Room], placed: Mapping[str, int]) -> int:
-    """How many of `tasks` find room; the rooms are taken from. For counting, not for starting."""
+def fill(run: wire.Run, tasks: int, rooms: Iterable[Room], placed: Mapping[str, int], take: bool = True) -> int:
+    """How many of `tasks` find room; the rooms are taken from with `take`. For counting, not for starting."""
     found = 0
     here = Counter(placed)
     for room in rooms:
@@ -181,7 +181,8 @@
             continue
         count = min(room.fits(run), tasks - found, zone_room(run, room.yard, here))
         if count:
-            room.take(run, count)
+            if take:
+                room.take(run, count)
             here[room.yard] += count
             found += count
     return found
--- a/src/ramptide/starts.py
+++ b/src/ramptide/starts.py
@@ -65,6 +65,8 @@
         if ours_only:
             return list(c.floor.free(c.part.agents)) if c.part is not None else []
         fresh = c.fresh_members()
+        if c.view is not None and len(fresh) >= len(c.view.members):
+            return list(c.floor.free())
         return [room for room in c.floor.free() if c.owner(room.host) in fresh]
 
     def home_for(self, run: wire.Run) -> str:
@@ -78,8 +80,7 @@
                 parts.setdefault(c.owner(room.host), []).append(room)
         free = {member: sum(room.cores for room in rooms) for member, rooms in parts.items()}
         for member in sorted(free, key=lambda name: (-free[name], name)):
-            rooms = [replace(room) for room in parts[member]]
-            if fill(run, run.pieces, rooms, {}) == run.pieces:
+            if fill(run, run.pieces, parts[member], {}, take=False) == run.pieces:
                 return member
         return c.view.leader
 
@@ -89,7 +90,7 @@
         """Starts what finds room, the most urgent first. Where one job of some needs found none, no other of the
         same needs is tried in this round."""
         c = self._c
-        works = [w for w in home.works.values() if w.waiting > 0 and not w.frozen and w.hold <= now and c.ready(w)]
+        works = [w for w in home.hungry.values() if not w.frozen and w.hold <= now and c.ready(w)]
         if not works:
             return
         c.floor.refresh()
@@ -209,9 +210,8 @@
         self._preempted_at = now
         claims = [
             work
-            for work in home.works.values()
+            for work in home.hungry.values()
             if work.waiting_since is not None
-            and work.waiting > 0
             and now - work.waiting_since >= c.tuning.preempt_after
             and work.hold <= now
             and c.ready(work)
@@ -330,7 +330,7 @@
         assert view is not None
         if c.membership.leading or view.leader not in c.fresh_members():
             return
-        for work in home.works.values():
+        for work in list(home.hungry.values()):
             if self._moving >= c.store.limits.txn_ops:
                 return
             waited = work.waiting_since is not None and now - work.waiting_since > c.tuning.hand_over
@@ -364,15 +364,15 @@
     def waiting_rows(self, home: Home, now: timedelta) -> list[tuple[str, int, float]]:
         return [
             (w.job.ref, w.waiting, (now - w.waiting_since).total_seconds() if w.waiting_since is not None else 0.0)
-            for w in home.works.values()
-            if w.waiting > 0 and w.hold <= now
+            for w in home.hungry.values()
+            if w.hold <= now
         ]
 
     def asking(self, home: Home) -> dict[str, Amounts]:
         """What our waiting tasks would use of each team's limit."""
         asking: dict[str, Amounts] = {}
-        for work in home.works.values():
-            if work.waiting > 0 and work.hold <= self._c.context.now:
+        for work in home.hungry.values():
+            if work.hold <= self._c.context.now:
                 run = work.job.run
                 add_amounts(asking, run.team, run.cores * work.waiting, run.cards * work.waiting)
         return asking
--- a/src/ramptide/syncing.py
+++ b/src/ramptide/syncing.py
@@ -13,7 +13,7 @@
 from ramptide.delta import Ledger
 from ramptide.jobs import Home
 from ramptide.membership import View
-from ramptide.peers import WIRE, Answer, Peer, Sync
+from ramptide.peers import EVERY, WIRE, Answer, Peer, Sync
 
 if TYPE_CHECKING:
     from ramptide.app import Controller
@@ -25,6 +25,8 @@
 AT_ONCE = ZERO
 SOON = timedelta(milliseconds=150)
 WITHDRAWN_KEPT = timedelta(seconds=60)
+#: For those that wait for nothing of ours: they need to know that we are there, and roughly what room there is.
+CALM = timedelta(seconds=1)
 PRUNE_EVERY = 1000
 
 
@@ -222,7 +224,8 @@
                 waiting=c.starter.waiting_rows(home, now) if first else [],
                 strangers=part.strangers_known() if first else {},
             )
-            c.peers.send(peer, sync)
+            calm = c.latched and not c.mirror.lacking and not first
+            c.peers.send(peer, sync, CALM if calm else EVERY)
 
     def send_outside(self, now: timedelta) -> None:
         """Without a place in a view there is nothing to tell but that we are there."""
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -61,6 +61,7 @@
             assert floor.where(ref) == sorted(
                 name for name, host in floor.hosts.items() if any(row[0] == ref for row in host.tasks)
             )
+        assert home.hungry == {ref: work for ref, work in home.works.items() if work.waiting > 0}
         using = sum_amounts(home.all_attempts())
         for team in using | home.using():
             assert home.using().get(team, (0.0, 0.0)) == pytest.approx(using.get(team, (0.0, 0.0)))
