--- a/src/ramptide/app.py
+++ b/src/ramptide/app.py
@@ -37,6 +37,7 @@
 ANSWER_MARGIN = timedelta(seconds=2)
 FLAVORS_EVERY = timedelta(seconds=60)
 OWNERS_KEPT = 20_000
+UNSETTLED_LONG = timedelta(seconds=4)
 
 
 class Controller:
@@ -70,6 +71,7 @@
         self.others_heard: dict[str, timedelta] = {}
         self._owners: dict[str, str] = {}
         self._last_round = ZERO
+        self._told_unsettled = ZERO
 
         self.floor = Floor(
             self.machines,
@@ -379,12 +381,8 @@
         for host in changed:
             self.read_row(host, part.row(host, now))
         self.syncing.acknowledge(home, self.member, part.acks.get(self.member, 0))
-        if not self.latched and self._all_settled():
-            self.latched = True
-            spent = (now - self.view_at).total_seconds()
-            log.info("all machines are settled in view %d after %.1f s", part.number, spent)
-            for peer in self.peers.all.values():
-                self.peers.hurry(peer, ZERO)
+        if not self.latched:
+            self._settle(part, now)
         if self.may_start():
             self.starter.place(home, now)
             self.starter.preempt(home, now)
@@ -393,19 +391,35 @@
         self.reports.answer_held(now)
         self.results.flush(home, now)
 
-    def _all_settled(self) -> bool:
-        """Every machine that an earlier view may have started on has been shown by its owner, and no task
+    def unsettled(self) -> dict[str, str]:
+        """What stands in the way: every machine that an earlier view may have started on has been shown by its owner, and no task
         of a job that is over is left there (its team is unknown, so it could not be counted)."""
         assert self.view is not None
+        found = {}
         for name, record in self.machines.items():
             if record.untouched(self.view.number):
                 continue
             host = self.floor.hosts.get(name)
-            if host is None or not host.known or not host.settled:
-                return False
-            if any(row[0] not in self.jobs and row[3] not in OVER_NAMES for row in host.tasks):
-                return False
-        return True
+            if host is None or not host.known:
+                found[name] = f"not heard of from {self.owner(name)}"
+            elif not host.settled:
+                found[name] = "silent" if host.quiet or not host.up else "not told our token"
+            elif any(row[0] not in self.jobs and row[3] not in OVER_NAMES for row in host.tasks):
+                found[name] = "runs a task of a job that is over"
+        return found
+
+    def _settle(self, part: Part, now: timedelta) -> None:
+        left = self.unsettled()
+        spent = (now - self.view_at).total_seconds()
+        if not left:
+            self.latched = True
+            log.info("all machines are settled in view %d after %.1f s", part.number, spent)
+            for peer in self.peers.all.values():
+                self.peers.hurry(peer, ZERO)
+        elif now - max(self.view_at, self._told_unsettled) > UNSETTLED_LONG:
+            self._told_unsettled = now
+            some = ", ".join(f"{name} ({why})" for name, why in list(left.items())[:3])
+            log.info("view %d waits for %d machines after %.1f s: %s", part.number, len(left), spent, some)
 
     def ready(self, work: Work) -> bool:
         """The job's tasks may be started: nothing of it can be on a machine without our knowing."""
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -99,7 +99,7 @@
 
 
 def test_without_the_settled_guard_a_task_runs_twice(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(Controller, "_all_settled", lambda self: True)
+    monkeypatch.setattr(Controller, "unsettled", lambda self: {})
     world = busy_world()
     cut_worker_and_crash(world)
     assert any("ran_twice" in rule for rule in world.rules.broken)
