--- a/src/ramptide/app.py
+++ b/src/ramptide/app.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from ramptide import wire
-from ramptide.agents import DRIFT, OVER_NAMES, HostRow, Part
+from ramptide.agents import DRIFT, HostRow, Part
 from ramptide.allowances import Grants, limited
 from ramptide.cloud import Cloud
 from ramptide.commits import Commits
@@ -323,12 +323,12 @@
         self.peers.new_view()
         self.leader.new_view()
         self.starter.new_view()
-        self.reports.new_view()
         self.floor.new_view()
         mine = view.members.get(self.member) == self.membership.incarnation
         self.syncing.new_view(view if mine else None)
         if not mine:
             self.part = self.home = None
+            self.reports.new_view()
             return
         index = sorted(view.members).index(self.member)
         self.part = Part(
@@ -340,6 +340,7 @@
             self._own(name, record)
         for job in self.jobs.values():
             self._assign(job)
+        self.reports.new_view()
 
     def _others_end(self) -> timedelta | None:
         """The moment after which no member of an earlier view can have answered a report."""
@@ -392,8 +393,7 @@
         self.results.flush(home, now)
 
     def unsettled(self) -> dict[str, str]:
-        """What stands in the way: every machine that an earlier view may have started on has been shown by its owner, and no task
-        of a job that is over is left there (its team is unknown, so it could not be counted)."""
+        """The machines that an earlier view may have started on and whose owners have not shown them clear yet."""
         assert self.view is not None
         found = {}
         for name, record in self.machines.items():
@@ -404,8 +404,8 @@
                 found[name] = f"not heard of from {self.owner(name)}"
             elif not host.settled:
                 found[name] = "silent" if host.quiet or not host.up else "not told our token"
-            elif any(row[0] not in self.jobs and row[3] not in OVER_NAMES for row in host.tasks):
-                found[name] = "runs a task of a job that is over"
+            elif not self.floor.clear(host):
+                found[name] = "runs a task of a job that was over"
         return found
 
     def _settle(self, part: Part, now: timedelta) -> None:
--- a/src/ramptide/floor.py
+++ b/src/ramptide/floor.py
@@ -32,6 +32,7 @@
     tasks: list[TaskRow] = field(default_factory=list)
     busy: int = 0
     known: bool = False
+    clear: bool = False
 
 
 class Floor:
@@ -110,6 +111,7 @@
         host.deaf_since = None if row.deaf is None else now - timedelta(seconds=row.deaf)
         host.failing, host.quick, host.images = row.failing, row.quick, row.images
         self._list(name, row.tasks)
+        self.clear(host)
 
     def _list(self, name: str, tasks: list[TaskRow]) -> None:
         host = self.hosts[name]
@@ -138,6 +140,14 @@
         job = self._jobs.get(ref)
         return job.run if job is not None else self._left.get(ref)
 
+    def clear(self, host: Host) -> bool:
+        """Nobody's work is left there uncounted: at some moment since it was settled all its tasks were of jobs that
+        we know, so their home has counted them from then on. A task of a job that was over before has no home. What
+        is cancelled later stays counted by its home until it is gone, so it does not matter here."""
+        if not host.clear and host.settled:
+            host.clear = all(row[0] in self._jobs or row[3] in OVER_NAMES for row in host.tasks)
+        return host.clear
+
     def where(self, ref: str) -> list[str]:
         """The machines whose owners show a task of the job."""
         return sorted(self._where.get(ref, ()))
--- a/src/ramptide/workers.py
+++ b/src/ramptide/workers.py
@@ -30,9 +30,19 @@
         self._held: dict[str, Held] = {}
 
     def new_view(self) -> None:
+        """Workers that wait hear of their owners, and of the token, at once."""
+        c = self._c
         held, self._held = self._held, {}
-        for one in held.values():
-            one.answer(503, b"")
+        for host, one in held.items():
+            if c.view is None or c.part is None or not c.may_answer():
+                one.answer(503, b"")
+            elif c.owner(host) != c.member:
+                one.answer(421, wire.encode_foreman(c.owner(host)))
+            else:
+                agent = c.part.agents.get(host)
+                if agent is not None:
+                    agent.answered = c.context.now
+                one.answer(200, wire.encode_beat_answer(c.view.number, []))
 
     def forget(self, host: str) -> None:
         held = self._held.pop(host, None)
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -5,11 +5,12 @@
 from typing import Any
 
 import pytest
-from chaos import play
+from chaos import play, submit, withdraw
 from world import S, Worker, World, job, leader, started
 
-from ramptide.agents import Part
+from ramptide.agents import OVER_NAMES, Part
 from ramptide.app import Controller
+from ramptide.floor import Floor, Host
 from ramptide.jobs import sum_amounts
 
 
@@ -397,3 +398,35 @@
     world.ask("c1", lambda c: c.desk.submit(body, lambda status, said, headers: got.append((status, headers))))
     world.ask("c1", lambda c: c.desk.poll("j-1", lambda status, said, headers: got.append((status, headers))))
     assert [(status, "Retry-After" in headers) for status, headers in got] == [(503, True)] * 2
+
+
+def seconds_to_settle(world: World) -> float:
+    """A controller leaves while users cancel one service after the other, so that some task of a job that is over is
+    always on its way out."""
+    for number in range(60):
+        world.submit(f"j-{number + 10}", shape="service", pieces=1, cores=0.5)
+        world.after(number * 0.05 * S, lambda ref=f"j-{number + 10}": submit(world, world.rng, ref))  # type: ignore[misc]
+    world.run(25)
+    for number in range(60):
+        world.after(number * 0.3 * S, lambda ref=f"j-{number + 10}": withdraw(world, world.rng, ref))  # type: ignore[misc]
+    world.run(1)
+    gone = next(name for name in world.names if name != leader(world))
+    world.nodes[gone].kill()
+    rest = [node.controller for name, node in world.nodes.items() if name != gone and node.controller is not None]
+    assert world.run_until(lambda: all(c.view is not None and gone not in c.view.members for c in rest), 10)
+    began = world.now
+    assert world.run_until(lambda: all(c.latched for c in rest), 30)
+    assert world.rules.broken == []
+    return (world.now - began) / S
+
+
+def test_a_view_settles_while_jobs_are_cancelled_all_the_time() -> None:
+    assert seconds_to_settle(started(9, teams={"team": 300.0})) < 4
+
+
+def test_without_the_memory_of_what_was_clear_it_does_not(monkeypatch: pytest.MonkeyPatch) -> None:
+    def forgetful(floor: Floor, host: Host) -> bool:
+        return host.settled and all(row[0] in floor._jobs or row[3] in OVER_NAMES for row in host.tasks)
+
+    monkeypatch.setattr(Floor, "clear", forgetful)
+    assert seconds_to_settle(started(9, teams={"team": 300.0})) > 8
