--- a/src/ramptide/app.py
+++ b/src/ramptide/app.py
@@ -14,7 +14,7 @@
 from ramptide.commits import Commits
 from ramptide.context import Context
 from ramptide.desk import Desk
-from ramptide.floor import Floor
+from ramptide.floor import SILENT, Floor
 from ramptide.jobs import Home, Job, Work
 from ramptide.leader import Leader
 from ramptide.membership import VIEW, Membership, View, owner_of
@@ -403,7 +403,7 @@
             if host is None or not host.known:
                 found[name] = f"not heard of from {self.owner(name)}"
             elif not host.settled:
-                found[name] = "silent" if host.quiet or not host.up else "not told our token"
+                found[name] = SILENT if host.quiet else "not told our token"
             elif not self.floor.clear(host):
                 found[name] = "runs a task of a job that was over"
         return found
--- a/src/ramptide/fleet.py
+++ b/src/ramptide/fleet.py
@@ -46,6 +46,7 @@
     listed: str | None = None
     known: bool = True
     deaf: timedelta = ZERO
+    holds_up: bool = False
 
 
 @dataclass(slots=True)
@@ -183,6 +184,9 @@
                 reason = "gone"
             elif machine.failing >= self.tuning.sick_jobs:
                 reason = "sick"
+            elif machine.holds_up:
+                # Few are silent, and a new view waits for nothing else: the answer to their return settles them.
+                reason = "silent"
             elif machine.silent > self._lease * self.tuning.silent_leases:
                 # Silence counts from the start of the view at the earliest: after a change of view workers
                 # need a moment to find their owners.
--- a/src/ramptide/floor.py
+++ b/src/ramptide/floor.py
@@ -13,6 +13,7 @@
 from ramptide.settings import Tuning
 
 ZERO = timedelta(0)
+SILENT = "silent"
 
 
 @dataclass(slots=True)
--- a/src/ramptide/starts.py
+++ b/src/ramptide/starts.py
@@ -15,7 +15,7 @@
 from ramptide import wire
 from ramptide.allowances import NO_LIMIT, NOTHING, Amounts, add_amounts, limited, limits_of
 from ramptide.fleet import Demand, Machine
-from ramptide.floor import Host
+from ramptide.floor import SILENT, Host
 from ramptide.jobs import Chance, Home, Job, Work, chance, urgency
 from ramptide.membership import View
 from ramptide.placement import EPSILON, Reach, Room, choose, choose_many, fill, needs
@@ -33,6 +33,8 @@
 PREEMPT_EVERY = timedelta(milliseconds=500)
 EVICTION_KEPT = timedelta(seconds=5)
 EVICTIONS_AT_ONCE = 40
+#: So many silent machines are returned at once rather than that a new view waits for the end of their leases.
+FEW, FEW_SHARE = 3, 0.05
 #: What a job that waited out its patience gets ahead of the others.
 SLICE = 0.1
 
@@ -411,6 +413,8 @@
         c.floor.refresh()
         rooms = {room.host: room for room in self.rooms()}
         gone = set(missing)
+        silent = [] if c.latched else [name for name, why in c.unsettled().items() if why == SILENT]
+        holding_up = set(silent) if len(silent) <= max(FEW, len(c.machines) * FEW_SHARE) else set()
         machines = []
         for name, record in c.machines.items():
             host = c.floor.hosts.get(name) or Host()
@@ -431,6 +435,7 @@
                     drained=host.known and host.leaving and not host.busy,
                     listed=listed.get(name),
                     known=name not in gone,
+                    holds_up=name in holding_up,
                     deaf=now - host.deaf_since if host.deaf_since is not None else ZERO,
                 )
             )
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -430,3 +430,19 @@
 
     monkeypatch.setattr(Floor, "clear", forgetful)
     assert seconds_to_settle(started(9, teams={"team": 300.0})) > 8
+
+
+def test_one_silent_machine_does_not_hold_up_a_view_for_its_lease() -> None:
+    """It is returned, and the answer proves it gone; a machine that is only slow to find its owner is not."""
+    world = busy_world(guessS=200.0)
+    lost, _ = world.rules.on_machines()[0]
+    before = {worker.host for worker, _ in world.rules.on_machines()}
+    lost.die()
+    gone = next(name for name in world.names if name != leader(world))
+    world.nodes[gone].kill()
+    rest = [node.controller for name, node in world.nodes.items() if name != gone and node.controller is not None]
+    assert world.run_until(lambda: all(c.view is not None and gone not in c.view.members for c in rest), 10)
+    assert world.run_until(lambda: all(c.latched for c in rest), 6), "the lease is 8 s"
+    world.run(20)
+    assert before - {lost.host} <= {worker.host for worker, _ in world.rules.on_machines()}
+    assert world.rules.broken == []
