--- a/src/ramptide/app.py
+++ b/src/ramptide/app.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from ramptide import wire
-from ramptide.agents import DRIFT, HostRow, Part
+from ramptide.agents import DRIFT, SILENT_REPORTS, HostRow, Part
 from ramptide.allowances import Grants, limited
 from ramptide.cloud import Cloud
 from ramptide.commits import Commits
@@ -195,7 +195,7 @@
         self.floor.job_over(ref, job.run)
         self.results.forget(ref)
         if self.home is not None:
-            self.home.job_over(ref, self.context.now)
+            self.home.job_over(ref)
         if self.part is not None:
             self.part.job_over(ref)
 
@@ -279,9 +279,9 @@
 
     def fresh_members(self) -> set[str]:
         """The members that we hear; of the others' machines nothing is known that could be used."""
-        now, fresh = self.context.now, {self.member}
+        now, silent, fresh = self.context.now, self.report_every * SILENT_REPORTS, {self.member}
         for name, peer in self.peers.all.items():
-            if peer.said is not None and peer.heard is not None and now - peer.heard < self.report_every * 3:
+            if peer.said is not None and peer.heard is not None and now - peer.heard < silent:
                 fresh.add(name)
         return fresh
 
@@ -363,7 +363,7 @@
         self.context.after(ROUND, self._tick)
         now = self.context.now
         if self.home is None or self.part is None or self.view is None:
-            self.syncing.send_outside(now)
+            self.syncing.send_outside()
             return
         self.reports.answer_held(now)
         slow = now - self._last_round >= QUIET_ROUND
@@ -414,8 +414,7 @@
         if not left:
             self.latched = True
             log.info("all machines are settled in view %d after %.1f s", part.number, spent)
-            for peer in self.peers.all.values():
-                self.peers.hurry(peer, ZERO)
+            self.peers.hurry_all()
         elif now - max(self.view_at, self._told_unsettled) > UNSETTLED_LONG:
             self._told_unsettled = now
             some = ", ".join(f"{name} ({why})" for name, why in list(left.items())[:3])
--- a/src/ramptide/desk.py
+++ b/src/ramptide/desk.py
@@ -65,6 +65,13 @@
         seconds = min(max(math.ceil(wait.total_seconds()), 1), LATEST)
         answer(503, error(text), {"Retry-After": str(seconds)})
 
+    def _overloaded(self, answer: Answer) -> bool:
+        """More is asked than the state service takes, so this is answered at once with the time to come back."""
+        delay = self._commits.delay()
+        if delay > PATIENCE:
+            self._busy(answer, "more is asked than the state service takes", delay)
+        return delay > PATIENCE
+
     def ended(self, ref: str, record: EndRecord) -> None:
         """A final state that was committed."""
         self._ended[ref] = record
@@ -106,9 +113,7 @@
     def _accept(self, run: wire.Run, answer: Answer, tries: int) -> None:
         view = self._membership.view
         assert view is not None
-        delay = self._commits.delay()
-        if delay > PATIENCE:
-            self._busy(answer, "more is asked than the state service takes", delay)
+        if self._overloaded(answer):
             return
         record = JobRecord(
             run=run,
@@ -253,9 +258,7 @@
             self._find(ref, found)
 
     def _withdraw(self, job: Job, answer: Answer, tries: int) -> None:
-        delay = self._commits.delay()
-        if delay > PATIENCE:
-            self._busy(answer, "more is asked than the state service takes", delay)
+        if self._overloaded(answer):
             return
         ref = job.ref
         end = EndRecord(wire.WITHDRAWN, job.run.pieces, job.progress.count)
--- a/src/ramptide/fleet.py
+++ b/src/ramptide/fleet.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from ramptide import wire
-from ramptide.placement import Room, fill, needs
+from ramptide.placement import Room, empty_room, fill, needs
 from ramptide.records import MachineRecord
 from ramptide.settings import Tuning
 
@@ -111,7 +111,7 @@
         """The two counts: waiting tasks that find no free room, less what boots; returns the uncovered demands."""
         rooms = [m.room for m in machines if m.room is not None]
         rooms += [
-            Room(m.host, m.flavor.name, m.record.yard, m.record.spot, m.flavor.cores, m.flavor.cards, m.flavor.ram_gb)
+            empty_room(m.flavor, m.record.yard, m.record.spot, m.host)
             for m in machines
             if not (m.up and m.record.opened) and m.flavor is not None and m.record.leaving is None
         ]
@@ -199,9 +199,9 @@
             if reason is not None and leaving in (None, "idle"):
                 plan.leave[machine.host] = reason
             elif leaving is not None:
-                self._see_off(machine, leaving, reason, plan)
+                self._see_off(machine, leaving, plan)
 
-    def _see_off(self, machine: Machine, leaving: str, reason: str | None, plan: Plan) -> None:
+    def _see_off(self, machine: Machine, leaving: str, plan: Plan) -> None:
         dead = leaving in ("gone", "silent", "deaf", "never up", "taken")
         if dead or machine.drained or machine.silent > self._lease * self.tuning.silent_leases:
             plan.give_back.append(machine.host)
@@ -254,7 +254,7 @@
         """The kind with the lowest price for the work that it would take, its boot included."""
         best: tuple[float, Kind] | None = None
         for flavor, yard, spot, price in self._kinds(now, flavors):
-            room = Room("", flavor.name, yard, spot, flavor.cores, flavor.cards, flavor.ram_gb)
+            room = empty_room(flavor, yard, spot)
             boot = timedelta(seconds=flavor.boot_s)
             work = 0.0
             for demand in uncovered:
@@ -274,7 +274,7 @@
             return 0
         left = [replace(demand) for demand in uncovered]
         for count in range(self.tuning.step_most):
-            room = Room("", flavor.name, kind[1], kind[2], flavor.cores, flavor.cards, flavor.ram_gb)
+            room = empty_room(flavor, kind[1], kind[2])
             taken = 0
             for demand in left:
                 found = fill(demand.run, demand.tasks, [room], demand.placed)
--- a/src/ramptide/floor.py
+++ b/src/ramptide/floor.py
@@ -8,7 +8,7 @@
 from ramptide import wire
 from ramptide.agents import OVER, OVER_NAMES, EntryId, HostRow, TaskRow
 from ramptide.jobs import Attempt, Job
-from ramptide.placement import Room
+from ramptide.placement import Room, empty_room
 from ramptide.records import MachineRecord
 from ramptide.settings import Tuning
 
@@ -175,10 +175,8 @@
             return None
         if host.quiet or host.deaf_since is not None or host.failing >= self.tuning.sick_jobs:
             return None
-        size = (flavor.cores, flavor.cards, flavor.ram_gb)
-        room = Room(name, record.flavor, record.yard, record.spot, *size, frozenset(host.images))
         shown: set[EntryId] = set()
-        services = False
+        taken: list[wire.Run] = []
         for ref, task, number, phase, _cause in host.tasks:
             if phase in OVER_NAMES:
                 continue
@@ -187,20 +185,18 @@
                 # A job that was over before, or that we have yet to hear of: nobody knows what it takes.
                 self._unclear.add(name)
                 return None
-            room.take(run)
-            services = services or run.shape == wire.SERVICE
+            taken.append(run)
             shown.add((ref, task, number))
-        busy = bool(shown)
-        for attempt in self._attempts(name):
-            if attempt.key not in shown and attempt.phase not in OVER:
-                room.take(attempt.run)
-                services = services or attempt.run.shape == wire.SERVICE
-                busy = True
-        room.idle = not busy
+        taken += [a.run for a in self._attempts(name) if a.key not in shown and a.phase not in OVER]
+        room = empty_room(flavor, record.yard, record.spot, name)
+        for run in taken:
+            room.take(run)
+        room.images = frozenset(host.images)
+        room.idle = not taken
         room.quick = host.quick
         # Services are what people wait for: the pool is theirs, and part of the machines that run some.
         room.kept = not record.spot and name in self.pool
-        room.services = services
+        room.services = any(run.shape == wire.SERVICE for run in taken)
         room.share = (flavor.cores * self.tuning.service_share, flavor.ram_gb * self.tuning.service_share)
         return room
 
--- a/src/ramptide/jobs.py
+++ b/src/ramptide/jobs.py
@@ -3,7 +3,7 @@
 import heapq
 import logging
 from collections import Counter
-from collections.abc import Callable, Container, Iterable, Iterator
+from collections.abc import Callable, Container, Iterable
 from dataclasses import dataclass, field
 from datetime import UTC, datetime, timedelta
 from enum import IntEnum
@@ -202,7 +202,7 @@
     def taken_over(self, ref: str) -> None:
         self.limbo.pop(ref, None)
 
-    def job_over(self, ref: str, now: timedelta) -> None:
+    def job_over(self, ref: str) -> None:
         """No task of it may be started any more; what may be on a machine still counts until it is gone."""
         work = self.works.pop(ref, None)
         if work is None:
@@ -220,10 +220,6 @@
             if attempt.phase is Phase.ENDED and work is not None and attempt.task in work.job.progress:
                 self._wish(attempt, Wish.REAP)
 
-    def all_attempts(self) -> Iterator[Attempt]:
-        for entries in self.attempts.values():
-            yield from entries.values()
-
     # Starting and stopping.
 
     def start(self, work: Work, task: int, host: str, yard: str, now: timedelta) -> Attempt:
--- a/src/ramptide/leader.py
+++ b/src/ramptide/leader.py
@@ -194,20 +194,18 @@
         """Machines that nobody recorded, as late requests make them: used like any other."""
         c = self._c
         assert c.view is not None
-        wall = c.context.wall().timestamp()
+        wall, born = c.context.wall().timestamp(), c.view.number
         found: dict[str, RentalRecord | None] = {}
         asked = {host for hosts in self._answered.values() for host in hosts}
 
         def adopt(host: str, flavor: str, yard: str, spot: bool, at: float) -> None:
             log.info("%s was not expected: taken over", host)
-            found[f"adopted-{host}"] = RentalRecord(
-                flavor, yard, spot, at, born=c.view.number if c.view is not None else 0, hosts={host: HostRecord()}
-            )
+            found[f"adopted-{host}"] = RentalRecord(flavor, yard, spot, at, born=born, hosts={host: HostRecord()})
 
         for host, (flavor, yard, spot) in c.syncing.strangers().items():
             if self._unexpected(host, asked):
                 adopt(host, flavor, yard, spot, wall)
-        read = self._list_at if self._list_at is not None else timedelta(0)
+        read = self._list_at if self._list_at is not None else ZERO
         for host, rented in self._listed.items() if self._list_at is not None else ():
             # A list may show what is gone, so only what stays listed longer than its lag is taken: as of the
             # moment the list was read, since it may be the last one before an outage.
--- a/src/ramptide/limits.py
+++ b/src/ramptide/limits.py
@@ -40,16 +40,19 @@
 
     def wait(self, now: timedelta, amount: float) -> timedelta:
         """How long until `amount` can be taken."""
+        self._refill(now)
+        short = min(amount, self.burst) - self._level
+        return ZERO if short <= 1e-9 else SECOND * (short / self.rate)
+
+    def _refill(self, now: timedelta) -> None:
         passed = (now - self._at) / SECOND
         self._level = min(self.burst, self._level + self.rate * passed)
         self.rate = min(self._most, self.rate + self._share * RISE * passed)
         self._at = now
-        short = min(amount, self.burst) - self._level
-        return ZERO if short <= 1e-9 else SECOND * (short / self.rate)
 
     def wait_unbounded(self, now: timedelta, amount: float) -> timedelta:
         """How long until `amount` has come in, even when it is more than the burst."""
-        self.wait(now, 0)
+        self._refill(now)
         return SECOND * (max(amount - self._level, 0.0) / self.rate)
 
     def take(self, amount: float) -> None:
--- a/src/ramptide/peers.py
+++ b/src/ramptide/peers.py
@@ -105,6 +105,18 @@
         peer = self.all.get(member)
         return peer.said if peer is not None else None
 
+    def messages(self) -> list[Sync]:
+        """The last message of each other member of the view that has sent one."""
+        return [peer.said for peer in self.all.values() if peer.said is not None]
+
+    def due(self) -> list[Peer]:
+        """Those that are to be sent a message now."""
+        return [peer for peer in self.all.values() if peer.due <= self._context.now and not peer.busy]
+
+    def hurry_all(self) -> None:
+        for peer in self.all.values():
+            self.hurry(peer, ZERO)
+
     def hurry(self, peer: Peer, within: timedelta) -> None:
         """There is news for it."""
         peer.due = min(peer.due, self._context.now + within)
--- a/src/ramptide/placement.py
+++ b/src/ramptide/placement.py
@@ -12,6 +12,14 @@
 OPEN_FOR = 4
 
 
+class Reach(IntEnum):
+    """Which of the room that is kept for services an array may use, by how long it has waited."""
+
+    NONE = 0
+    POOL = 1
+    ALL = 2
+
+
 @dataclass(slots=True)
 class Room:
     """What is free on a machine, and what matters for choosing it.
@@ -34,7 +42,7 @@
     services: bool = False
     share: tuple[float, float] = (0.0, 0.0)
 
-    def fits(self, run: wire.Run, reach: "Reach | None" = None) -> int:
+    def fits(self, run: wire.Run, reach: Reach = Reach.NONE) -> int:
         """How many tasks of the job this room takes."""
         cores, ram = self.cores, self.ram_gb
         if self.services and run.shape != wire.SERVICE and reach is not Reach.ALL:
@@ -61,6 +69,19 @@
     )
 
 
+def admits(run: wire.Run, room: Room, reach: Reach = Reach.NONE) -> bool:
+    """The job may use this machine, whatever room is left there."""
+    kept_from = room.kept and run.shape != wire.SERVICE
+    return may_use(run, room.flavor, room.yard, room.spot) and (
+        not kept_from or reach is Reach.ALL or room.idle and reach is Reach.POOL
+    )
+
+
+def empty_room(flavor: wire.Flavor, yard: str, spot: bool, host: str = "") -> Room:
+    """What a machine of the type has before anything runs there."""
+    return Room(host, flavor.name, yard, spot, flavor.cores, flavor.cards, flavor.ram_gb)
+
+
 def holds(run: wire.Run, flavor: wire.Flavor) -> bool:
     """An empty machine of the type takes a task of the job."""
     return (
@@ -90,14 +111,6 @@
     return run.pieces
 
 
-class Reach(IntEnum):
-    """Which of the room that is kept for services an array may use, by how long it has waited."""
-
-    NONE = 0
-    POOL = 1
-    ALL = 2
-
-
 def usable(
     run: wire.Run, rooms: Iterable[Room], placed: Mapping[str, int], reach: Reach = Reach.NONE
 ) -> list[Room]:
@@ -107,8 +120,7 @@
         for room in rooms
         if room.cores + EPSILON >= run.cores
         and room.ram_gb + EPSILON >= run.ram_gb
-        and may_use(run, room.flavor, room.yard, room.spot)
-        and (not room.kept or run.shape == wire.SERVICE or reach is Reach.ALL or room.idle and reach is Reach.POOL)
+        and admits(run, room, reach)
         and room.fits(run, reach) > 0
         and zone_room(run, room.yard, placed)
     ]
@@ -175,9 +187,7 @@
     for room in rooms:
         if found >= tasks:
             break
-        if not may_use(run, room.flavor, room.yard, room.spot):
-            continue
-        if room.kept and run.shape != wire.SERVICE:
+        if not admits(run, room):
             continue
         count = min(room.fits(run), tasks - found, zone_room(run, room.yard, here))
         if count:
--- a/src/ramptide/preemption.py
+++ b/src/ramptide/preemption.py
@@ -5,7 +5,7 @@
 
 from ramptide import wire
 from ramptide.allowances import Amounts
-from ramptide.placement import Room, may_use, zone_room
+from ramptide.placement import Room, admits, zone_room
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,9 +52,7 @@
 ) -> tuple[float, list[OnMachine]] | None:
     """Who goes on this machine to make room for one task of the job, and what is lost by it; None when that
     can't be done, or need not."""
-    if not may_use(run, room.flavor, room.yard, room.spot):
-        return None
-    if room.kept and run.shape != wire.SERVICE or not zone_room(run, room.yard, placed):
+    if not admits(run, room) or not zone_room(run, room.yard, placed):
         return None
     trial, lost, going = replace(room), 0.0, []
     for task in sorted((t for t in tasks if claimable(t.run)), key=_loss):
--- a/src/ramptide/service.py
+++ b/src/ramptide/service.py
@@ -1,6 +1,5 @@
 """The shell around a controller: listeners, routes and the real context."""
 
-import logging
 import resource
 import secrets
 from collections.abc import Callable
@@ -14,8 +13,6 @@
 from ramptide.http import Client, Exchange, Server
 from ramptide.loop import Loop, Timer
 
-log = logging.getLogger(__name__)
-
 IDLE_USERS = timedelta(seconds=60)
 IDLE_PEERS = timedelta(seconds=60)
 OWN_FILES = 24
--- a/src/ramptide/starts.py
+++ b/src/ramptide/starts.py
@@ -119,14 +119,11 @@
 
     def _reach(self, work: Work, now: timedelta, wall: datetime) -> Reach:
         """With no capacity to be had an idle pool helps nobody; the services' own machines are given up last."""
-        if self._starved(work, now, wall):
+        if chance(work.job, work.idle_for(now, wall), wall, self._c.tuning.patience) is Chance.STARVED:
             return Reach.ALL
         waited = now - work.waiting_since if work.waiting_since is not None else ZERO
         return Reach.POOL if waited > self._c.tuning.long_wait else Reach.NONE
 
-    def _starved(self, work: Work, now: timedelta, wall: datetime) -> bool:
-        return chance(work.job, work.idle_for(now, wall), wall, self._c.tuning.patience) is Chance.STARVED
-
     def _place_work(
         self, home: Home, work: Work, rooms: list[Room], using: dict[str, Amounts], reach: Reach, now: timedelta
     ) -> bool:
@@ -315,11 +312,10 @@
     def team_use(self) -> dict[str, Amounts]:
         """What all homes' attempts hold, by team."""
         c = self._c
-        assert c.home is not None and c.view is not None
+        assert c.home is not None
         using = c.home.using()
-        for member in c.view.members:
-            said = c.peers.said(member)
-            for team, (cores, cards) in said.using.items() if said is not None else ():
+        for said in c.peers.messages():
+            for team, (cores, cards) in said.using.items():
                 add_amounts(using, team, cores, cards)
         return using
 
@@ -383,17 +379,15 @@
         """Waiting tasks of all homes that their team's limit lets run now, the most urgent first."""
         c = self._c
         home = c.home
-        assert home is not None and c.view is not None
+        assert home is not None
         now, wall = c.context.now, c.context.wall()
         using = self.team_use()
         rows: list[tuple[tuple[str, int, float], Counter[str]]] = [
             (row, home.works[row[0]].yards) for row in self.waiting_rows(home, now)
         ]
-        for member in c.view.members:
-            said = c.peers.said(member)
-            if said is not None:
-                # A job that was handed over to us may still be in its old home's last message.
-                rows += [(row, Counter()) for row in said.waiting if row[0] not in home.works]
+        for said in c.peers.messages():
+            # A job that was handed over to us may still be in its old home's last message.
+            rows += [(row, Counter()) for row in said.waiting if row[0] not in home.works]
         found = [(c.jobs[row[0]], row, placed) for row, placed in rows if row[0] in c.jobs]
         found.sort(key=lambda one: self._urgency(one[0], timedelta(seconds=one[1][2]), wall))
         demands = []
--- a/src/ramptide/syncing.py
+++ b/src/ramptide/syncing.py
@@ -1,6 +1,5 @@
 """What we tell the other controllers and what we take from them: machines' rows, wishes, acknowledgements, grants."""
 
-import logging
 from collections import deque
 from datetime import timedelta
 from typing import TYPE_CHECKING
@@ -18,11 +17,8 @@
 if TYPE_CHECKING:
     from ramptide.app import Controller
 
-log = logging.getLogger(__name__)
-
-ZERO = timedelta(0)
 #: How soon a peer hears what it waits for, what the leader counts by, and what it should know in time.
-AT_ONCE = ZERO
+AT_ONCE = timedelta(0)
 SOON = timedelta(milliseconds=150)
 WITHDRAWN_KEPT = timedelta(seconds=60)
 #: For those that wait for nothing of ours: they need to know that we are there, and roughly what room there is.
@@ -53,8 +49,7 @@
     def withdrawn(self, ref: str) -> None:
         """We promised that the job is cancelled: told to the others directly, should the state service fail now."""
         self._withdrawn.append((self._c.context.now, ref))
-        for peer in self._c.peers.all.values():
-            self._c.peers.hurry(peer, AT_ONCE)
+        self._c.peers.hurry_all()
 
     # What comes in.
 
@@ -180,7 +175,7 @@
             if name in c.peers.all and new != self._granted.get(name):
                 self._granted[name] = new
                 c.peers.hurry(c.peers.all[name], AT_ONCE)
-        due = [peer for peer in c.peers.all.values() if peer.due <= now and not peer.busy]
+        due = c.peers.due()
         if not due:
             return
         home.seq += 1
@@ -198,7 +193,6 @@
             acks=part.acks,
             using=home.using(),
             limbo=home.in_limbo(),
-            asking=c.starter.asking(home),
             grants_ack=self.grants_ack,
             took=took,
             pool=c.floor.pool if leads else [],
@@ -221,18 +215,18 @@
                 status=status,
                 wishes={host: home.wishes(host) for host in self._wishes[peer.name].since(peer.taken)},
                 grants=grants.get(peer.name),
+                asking=c.starter.asking(home) if first else {},
                 waiting=c.starter.waiting_rows(home, now) if first else [],
                 strangers=part.strangers_known() if first else {},
             )
             calm = c.latched and not c.mirror.lacking and not first
             c.peers.send(peer, sync, CALM if calm else EVERY)
 
-    def send_outside(self, now: timedelta) -> None:
+    def send_outside(self) -> None:
         """Without a place in a view there is nothing to tell but that we are there."""
         c = self._c
-        for peer in c.peers.all.values():
-            if peer.due <= now and not peer.busy:
-                c.peers.send(peer, Sync(c.member, c.membership.incarnation, 0, 0, c.mirror.lacking, wire=WIRE))
+        for peer in c.peers.due():
+            c.peers.send(peer, Sync(c.member, c.membership.incarnation, 0, 0, c.mirror.lacking, wire=WIRE))
 
     def _took(self, home: Home, view: View) -> list[str]:
         """Jobs that were handed to us and that we count now."""
@@ -270,8 +264,6 @@
         """Machines that report and that the fleet record lacks."""
         c = self._c
         found = c.part.strangers_known() if c.part is not None else {}
-        for member in c.view.members if c.view is not None else {}:
-            said = c.peers.said(member)
-            if said is not None:
-                found |= said.strangers
+        for said in c.peers.messages():
+            found |= said.strangers
         return {host: kind for host, kind in found.items() if host not in c.machines}
--- a/src/ramptide/workers.py
+++ b/src/ramptide/workers.py
@@ -34,15 +34,10 @@
         c = self._c
         held, self._held = self._held, {}
         for host, one in held.items():
-            if c.view is None or c.part is None or not c.may_answer():
-                one.answer(503, b"")
-            elif c.owner(host) != c.member:
+            if c.may_answer() and c.owner(host) != c.member:
                 one.answer(421, wire.encode_foreman(c.owner(host)))
             else:
-                agent = c.part.agents.get(host)
-                if agent is not None:
-                    agent.answered = c.context.now
-                one.answer(200, wire.encode_beat_answer(c.view.number, []))
+                self._reply(host, one.answer)
 
     def forget(self, host: str) -> None:
         held = self._held.pop(host, None)
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -63,13 +63,14 @@
                 name for name, host in floor.hosts.items() if any(row[0] == ref for row in host.tasks)
             )
         assert home.hungry == {ref: work for ref, work in home.works.items() if work.waiting > 0}
-        using = sum_amounts(home.all_attempts())
+        attempts = [attempt for entries in home.attempts.values() for attempt in entries.values()]
+        using = sum_amounts(attempts)
         for team in using | home.using():
             assert home.using().get(team, (0.0, 0.0)) == pytest.approx(using.get(team, (0.0, 0.0)))
         by_ref = [attempt for entries in home._by_ref.values() for attempt in entries.values()]
-        assert sorted(a.key for a in by_ref) == sorted(a.key for a in home.all_attempts())
+        assert sorted(a.key for a in by_ref) == sorted(a.key for a in attempts)
         shown = {tuple(row[:3]) for host in floor.hosts.values() if host.settled for row in host.tasks}
-        assert all(attempt.key in home.unshown or attempt.key in shown for attempt in home.all_attempts())
+        assert all(attempt.key in home.unshown or attempt.key in shown for attempt in attempts)
 
 
 def busy_world(seed: int = 3, members: int = 3, **fields: object) -> World:
