Machines with few services are emptied while quiet; less work a step; sockets by need

Now, while the trigger is quiet, one such machine every 10 s is marked to leave and its services move together.

The leader's profile: copies of rooms by dataclasses.replace, and all tasks looked at for each claim. Connections: a fifth each for peers and own calls whatever their number left too few for all workers of 900 machines at a sole survivor; now a few for each controller, the rest for those who call.

--- a/src/ramptide/fleet.py
+++ b/src/ramptide/fleet.py
@@ -21,6 +21,7 @@
 ZERO = timedelta(0)
 REFUSED_FIRST = timedelta(seconds=5)
 REFUSED_MOST = timedelta(seconds=40)
+THIN = "thin"
 
 # A card is worth about a dozen cores, and a GB a fiftieth of one; only the order of magnitude matters.
 CARD, RAM = 12.0, 0.02
@@ -47,6 +48,9 @@
     known: bool = True
     deaf: timedelta = ZERO
     holds_up: bool = False
+    owner: str = ""
+    #: What runs here, when that is services only.
+    serving: list[wire.Run] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -85,6 +89,8 @@
         self._since = ZERO
         self._quiet_since = ZERO
         self._idle_since: dict[str, timedelta] = {}
+        self._serving_since: dict[str, tuple[set[str], timedelta]] = {}
+        self._gathered_at = ZERO
         self._refused: dict[Kind, tuple[timedelta, timedelta]] = {}
         self._popular: Counter[str] = Counter()
         self.waiting = 0
@@ -163,6 +169,7 @@
         self._watch(now)
         self._mind(now, machines, plan)
         self._keep_pool(now, machines)
+        self._note_serving(now, machines)
         if rebuilt:
             if self.trigger is Trigger.HIGH:
                 plan.rent = self._cheapest(now, uncovered, flavors)
@@ -170,6 +177,7 @@
             elif self.trigger is Trigger.QUIET and self._pool_short(machines):
                 plan.rent, plan.count = self._pool_kind(now, flavors), 1
             self._cool_down(now, machines, plan)
+            self._gather(now, machines, plan)
         return plan
 
     def _mind(self, now: timedelta, machines: list[Machine], plan: Plan) -> None:
@@ -243,6 +251,51 @@
             if machine.host not in plan.leave:
                 plan.leave[machine.host] = "idle"
 
+    def _note_serving(self, now: timedelta, machines: list[Machine]) -> None:
+        """Since when nothing new was started on the machines that run services only."""
+        known, self._serving_since = self._serving_since, {}
+        for machine in machines:
+            if machine.serving:
+                refs = {run.ref for run in machine.serving}
+                before, since = known.get(machine.host, (set(), now))
+                self._serving_since[machine.host] = (refs, since if refs <= before else now)
+
+    def _gather(self, now: timedelta, machines: list[Machine], plan: Plan) -> None:
+        """Services end one by one and leave machines that run a few each and never become idle: while the trigger has
+        been quiet for the cooldown, one such machine per `gather` is emptied and returned. Its services find room on
+        machines of the same owner that run more of them, which then empty last. A replica is down while it moves, so
+        a machine is left alone when more than `thin_share` of it serves, or when something was just started there."""
+        quiet = self.trigger is Trigger.QUIET and now - self._quiet_since >= self.tuning.cooldown
+        if not quiet or now - self._gathered_at < self.tuning.gather:
+            return
+        if any(machine.record.leaving == THIN for machine in machines):
+            return
+        serving = [m for m in machines if m.serving and m.room is not None and m.host not in plan.leave]
+
+        def thin(machine: Machine) -> bool:
+            most = machine.flavor.cores * self.tuning.thin_share if machine.flavor is not None else 0.0
+            still = now - self._serving_since[machine.host][1] >= self.tuning.started
+            return sum(run.cores for run in machine.serving) <= most and still
+
+        def worth(machine: Machine) -> tuple[float, str]:
+            rate = machine.flavor.price if machine.flavor is not None else 0.0
+            return -rate / sum(run.cores for run in machine.serving), machine.host
+
+        for machine in sorted(filter(thin, serving), key=worth):
+            cores = sum(run.cores for run in machine.serving)
+            rooms = [
+                other.room.copy()
+                for other in serving
+                if other is not machine
+                and other.room is not None
+                and other.owner == machine.owner
+                and sum(run.cores for run in other.serving) >= cores
+            ]
+            if all(fill(run, 1, rooms, {}) for run in machine.serving):
+                self._gathered_at = now
+                plan.leave[machine.host] = THIN
+                return
+
     def _kinds(self, now: timedelta, flavors: Iterable[wire.Flavor]) -> Iterable[tuple[wire.Flavor, str, bool, float]]:
         for flavor in flavors:
             for yard in flavor.yards:
--- a/src/ramptide/floor.py
+++ b/src/ramptide/floor.py
@@ -196,7 +196,7 @@
         room.quick = host.quick
         # Services are what people wait for: the pool is theirs, and part of the machines that run some.
         room.kept = not record.spot and name in self.pool
-        room.services = any(run.shape == wire.SERVICE for run in taken)
+        room.services = sum((run.cores for run in taken if run.shape == wire.SERVICE), 0.0)
         room.share = (flavor.cores * self.tuning.service_share, flavor.ram_gb * self.tuning.service_share)
         return room
 
--- a/src/ramptide/http.py
+++ b/src/ramptide/http.py
@@ -20,6 +20,7 @@
 MAX_REQUEST_BODY = 64 * 1024
 MAX_RESPONSE_BODY = 64 * 1024 * 1024
 READ_SIZE = 256 * 1024
+TOLD_FULL = timedelta(seconds=60)
 
 
 class HttpError(Exception):
@@ -340,10 +341,17 @@
                 self.close()
             elif data and not self.ending:
                 if self.parser.idle:
-                    self.since = self.loop.now
+                    self._seen()
                 self.parser.feed(data)
                 self.advance()
 
+    def _seen(self) -> None:
+        """Keeps the server's connections in the order of their last use."""
+        self.since = self.loop.now
+        connections = self.server.connections
+        if connections.pop(self, False) is None:
+            connections[self] = None
+
     def advance(self) -> None:
         if self.busy or not self.open:
             return
@@ -381,7 +389,7 @@
         if not self.open:
             return
         self.busy = False
-        self.since = self.loop.now
+        self._seen()
         if request.method == "HEAD":
             body = b""
         data = encode_response(status, body, kind, headers, request.keep)
@@ -393,7 +401,7 @@
 
     def close(self) -> None:
         super().close()
-        self.server.connections.discard(self)
+        self.server.connections.pop(self, None)
 
 
 class Server:
@@ -413,12 +421,15 @@
         self.room = room
         self.idle = idle
         self.max_body = max_body
-        self.connections: set[_ServerConnection] = set()
+        #: The one that was used longest ago comes first.
+        self.connections: dict[_ServerConnection, None] = {}
+        self._told_full: timedelta | None = None
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.sock.setblocking(False)
         self.sock.bind(parse_address(address))
-        self.sock.listen(256)
+        # All workers of a controller that is gone may come at once.
+        self.sock.listen(room)
         loop.watch(self.sock, selectors.EVENT_READ, self._accept)
         self._sweep()
 
@@ -436,13 +447,16 @@
                 self._make_room()
             sock.setblocking(False)
             _no_delay(sock)
-            self.connections.add(_ServerConnection(self, sock))
+            self.connections[_ServerConnection(self, sock)] = None
 
     def _make_room(self) -> None:
         """Over the cap the connection that has been quiet longest goes, so that slow clients cannot hold all."""
-        quiet = [c for c in self.connections if not c.busy]
-        if quiet:
-            min(quiet, key=lambda c: c.since).close()
+        if self._told_full is None or self.loop.now - self._told_full > TOLD_FULL:
+            self._told_full = self.loop.now
+            log.error("all %d connections are in use: fd_limit is too small for those who call here", self.room)
+        quiet = next((connection for connection in self.connections if not connection.busy), None)
+        if quiet is not None:
+            quiet.close()
 
     def _sweep(self) -> None:
         for connection in list(self.connections):
--- a/src/ramptide/placement.py
+++ b/src/ramptide/placement.py
@@ -25,7 +25,7 @@
     """What is free on a machine, and what matters for choosing it.
 
     `quick`: its worker waits for our answer, so a launch leaves at once. `kept`: in the pool, for services only.
-    `services`: runs some, and arrays leave `share` (cores, memory) for more of them.
+    `services`: the cores that services hold; where there are some, arrays leave `share` (cores, memory) for more.
     """
 
     host: str
@@ -39,7 +39,7 @@
     idle: bool = False
     quick: bool = False
     kept: bool = False
-    services: bool = False
+    services: float = 0.0
     share: tuple[float, float] = (0.0, 0.0)
 
     def fits(self, run: wire.Run, reach: Reach = Reach.NONE) -> int:
@@ -54,6 +54,13 @@
         ]
         return max(0, min(counts)) if counts else run.pieces
 
+    def copy(self) -> "Room":
+        """For trials. Written out, as `dataclasses.replace` takes ten times as long and hundreds are made a step."""
+        return Room(
+            self.host, self.flavor, self.yard, self.spot, self.cores, self.cards, self.ram_gb, self.images,
+            self.idle, self.quick, self.kept, self.services, self.share,
+        )  # fmt: skip
+
     def take(self, run: wire.Run, tasks: int = 1) -> None:
         self.cores -= run.cores * tasks
         self.cards -= run.cards * tasks
@@ -169,14 +176,15 @@
 
     Services go together, on machines where their images are soon all cached and which empty one after the other when
     services end: there to one that holds the image, then one whose worker waits for our answer (see `agents`), then
-    the tightest fit. Another machine is opened where several more will fit. Arrays keep off the quick machines, take
-    spot ones where they may, and fill machines in one fixed order, so that the last ones empty.
+    the one with most services, so that the others empty. Another machine is opened where several more will fit. Arrays
+    keep off the quick machines, take spot ones where they may, and fill machines in one fixed order, so that the last
+    ones empty.
     """
     missing = run.image not in room.images
     if run.shape == wire.SERVICE:
         opens = not room.services
         small = opens and room.fits(run) < OPEN_FOR
-        return (opens, small, missing, not room.quick, room.spot, room.idle, room.cores - run.cores, room.host)
+        return (opens, small, missing, not room.quick, room.spot, room.idle, -room.services, room.cores, room.host)
     return (run.spot and not room.spot, room.quick and not room.idle, missing, room.idle, room.host)
 
 
--- a/src/ramptide/preemption.py
+++ b/src/ramptide/preemption.py
@@ -1,7 +1,7 @@
 """Which tasks give way when a job that may claim room finds none. Pure."""
 
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from ramptide import wire
 from ramptide.allowances import Amounts
@@ -54,7 +54,7 @@
     can't be done, or need not."""
     if not admits(run, room) or not zone_room(run, room.yard, placed):
         return None
-    trial, lost, going = replace(room), 0.0, []
+    trial, lost, going = room.copy(), 0.0, []
     for task in sorted((t for t in tasks if claimable(t.run)), key=_loss):
         if trial.fits(run):
             break
--- a/src/ramptide/service.py
+++ b/src/ramptide/service.py
@@ -16,6 +16,7 @@
 IDLE_USERS = timedelta(seconds=60)
 IDLE_PEERS = timedelta(seconds=60)
 OWN_FILES = 24
+OWN_CALLS, OWN_CALLS_EACH, PEERS_EACH = 80, 4, 12
 #: The whole state of a part of several hundred machines is well below this.
 PEER_BODY = 8 * 1024 * 1024
 
@@ -46,18 +47,21 @@
 class Service:
     def __init__(self, settings: wire.Settings) -> None:
         self.loop = Loop()
-        # Sockets are shared out so that neither users nor peers can use up what the others need.
+        # Sockets are shared out so that neither users nor peers can use up what the others need. Our own calls and the
+        # peers need a few for each controller, whatever the fleet's size; a sole survivor takes all workers and users.
         limit = settings.cluster.quota.fd_limit
         _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
         if hard != resource.RLIM_INFINITY:
             limit = min(limit, hard)
         room = max(limit - OWN_FILES, 8)
-        client = Client(self.loop, room // 5)
+        calls = min(OWN_CALLS + OWN_CALLS_EACH * settings.cluster.nodes, room // 5)
+        between = min(PEERS_EACH * settings.cluster.nodes, room // 5)
+        client = Client(self.loop, calls)
         context = LoopContext(self.loop, client)
         self.controller = Controller(context, settings, secrets.token_hex(6))
         self.admin = Admin(self.controller)
-        self.users = Server(self.loop, settings.listen, self._users, room * 3 // 5, IDLE_USERS)
-        self.peers = Server(self.loop, settings.peer_listen, self._peers, room // 5, IDLE_PEERS, PEER_BODY)
+        self.users = Server(self.loop, settings.listen, self._users, room - calls - between, IDLE_USERS)
+        self.peers = Server(self.loop, settings.peer_listen, self._peers, between, IDLE_PEERS, PEER_BODY)
 
     def run(self) -> None:
         self.controller.start()
--- a/src/ramptide/settings.py
+++ b/src/ramptide/settings.py
@@ -61,6 +61,9 @@
     "long_wait": Bound(0, 3600, "seconds after which a waiting task is long-waiting"),
     "long_waiting_high": Bound(1, 1e6, "long-waiting tasks that count as high"),
     "cooldown": Bound(0, 3600, "quiet seconds after which an idle machine is returned"),
+    "gather": Bound(0, 3600, "seconds between two machines that are emptied because they run few services"),
+    "thin_share": Bound(0, 1, "part of a machine up to which its services are few, and may be moved to another"),
+    "started": Bound(0, 3600, "seconds that a service is left where it was started, however few run there"),
     "pool_size": Bound(0, 1000, "idle machines kept ready at least"),
     "service_share": Bound(0, 1, "part of a machine that runs services which arrays leave free for more of them"),
     "pool_share": Bound(0, 1, "idle machines kept ready for each machine that is up"),
@@ -87,6 +90,9 @@
     long_wait: timedelta = timedelta(seconds=10)
     long_waiting_high: int = 1
     cooldown: timedelta = timedelta(seconds=20)
+    gather: timedelta = timedelta(seconds=10)
+    thin_share: float = 0.5
+    started: timedelta = timedelta(seconds=40)
     pool_size: int = 1
     pool_share: float = 0.02
     service_share: float = 0.25
--- a/src/ramptide/starts.py
+++ b/src/ramptide/starts.py
@@ -5,7 +5,7 @@
 import math
 from collections import Counter
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from datetime import datetime, timedelta
 from functools import partial
 from typing import TYPE_CHECKING, Any
@@ -13,12 +13,13 @@
 import msgspec
 
 from ramptide import wire
+from ramptide.agents import OVER_NAMES
 from ramptide.allowances import NO_LIMIT, NOTHING, Amounts, add_amounts, limited, limits_of
 from ramptide.fleet import Demand, Machine
 from ramptide.floor import SILENT, Host
 from ramptide.jobs import Chance, Home, Job, Work, chance, urgency
 from ramptide.membership import View
-from ramptide.placement import EPSILON, Reach, Room, choose, choose_many, fill, needs
+from ramptide.placement import EPSILON, Reach, Room, admits, choose, choose_many, fill, needs
 from ramptide.preemption import OnMachine, may_claim, victims
 from ramptide.records import JOB, Handover, to_value
 from ramptide.store import Outcome, Txn
@@ -163,7 +164,8 @@
         assert task is not None
         home.start(work, task, room.host, room.yard, now)
         room.take(work.job.run)
-        room.services = room.services or work.job.run.shape == wire.SERVICE
+        if work.job.run.shape == wire.SERVICE:
+            room.services += work.job.run.cores
         room.idle = room.kept = False
         self._c.floor.touch(room.host)
 
@@ -206,6 +208,8 @@
             self.evictions = {key: one for key, one in self.evictions.items() if now - one.at < EVICTION_KEPT}
         if not c.membership.leading or not c.latched or now - self._preempted_at < PREEMPT_EVERY:
             return
+        if len(self.evictions) >= EVICTIONS_AT_ONCE:
+            return
         self._preempted_at = now
         claims = [
             work
@@ -219,8 +223,8 @@
             return
         wall = c.context.wall()
         c.floor.refresh()
-        rooms = {room.host: replace(room) for room in self.rooms()}
-        tasks = {host: self._stoppable(host) for host in rooms}
+        rooms = {room.host: room.copy() for room in self.rooms()}
+        tasks: dict[str, list[OnMachine]] = {}
         using = self.team_use()
         held = home.held()
         hopeless: set[tuple[object, ...]] = set()
@@ -251,6 +255,10 @@
         claimable = partial(may_claim, run, using=using, guarantees=self._c.guarantees)
         heap = []
         for host, room in rooms.items():
+            if not admits(run, room):
+                continue
+            if host not in tasks:
+                tasks[host] = self._stoppable(host)
             found = victims(run, room, tasks[host], claimable, work.yards)
             if found is not None:
                 heap.append((found[0], host))
@@ -425,12 +433,20 @@
                     notice=None if host.notice is None else host.notice - now,
                     failing=host.failing,
                     tasks=host.busy + (len(c.home.attempts.get(name, ())) if c.home is not None else 0),
-                    room=replace(room) if room is not None else None,
+                    room=room.copy() if room is not None else None,
                     drained=host.known and host.leaving and not host.busy,
                     listed=listed.get(name),
                     known=name not in gone,
                     holds_up=name in holding_up,
                     deaf=now - host.deaf_since if host.deaf_since is not None else ZERO,
+                    owner=c.owner(name),
+                    serving=self._serving(host) if room is not None and room.services else [],
                 )
             )
         return machines
+
+    def _serving(self, host: Host) -> list[wire.Run]:
+        """What runs there, when that is services only; what is over is on its way out."""
+        jobs = (self._c.jobs.get(row[0]) for row in host.tasks if row[3] not in OVER_NAMES)
+        found = [job.run for job in jobs if job is not None]
+        return found if all(run.shape == wire.SERVICE for run in found) else []
--- a/tests/test_models.py
+++ b/tests/test_models.py
@@ -213,6 +213,34 @@
     assert list(left.values()) == ["idle"] and fleet.pool == [host for host in ("vm-0", "vm-1") if host not in left]
 
 
+def test_a_machine_with_few_services_is_emptied_when_they_find_room_with_others() -> None:
+    def serving(host: str, services: int, **fields: object) -> Machine:
+        runs = [
+            wire.decode_run(json.dumps(job(f"j-{host[3:]}{n}", shape="service", pieces=1, cores=2.0)).encode())
+            for n in range(services)
+        ]
+        found = machine(host, tasks=services, serving=runs, **fields)
+        for run in runs if found.room is not None else ():
+            found.room.take(run)
+            found.room.services += run.cores
+        return found
+
+    def left(*machines: Machine, waiting: int = 0) -> dict[str, str]:
+        fleet = Fleet(Tuning(pool_size=0, pool_share=0.0, cooldown=10 * S, started=15 * S), S, 10 * S)
+        found: dict[str, str] = {}
+        for second in range(20):
+            demands = [demand(waiting)] if waiting else []
+            found |= fleet.step(second * S, demands, list(machines), [FLAVOR], True).leave
+        return found
+
+    few, many = serving("vm-0", 1, owner="c0"), serving("vm-1", 3, owner="c0")
+    assert left(few, many) == {"vm-0": "thin"}
+    assert left(few, serving("vm-1", 4, owner="c0")) == {}, "no room there"
+    assert left(few, serving("vm-1", 3, owner="c1")) == {}, "another's part"
+    assert left(serving("vm-0", 3, owner="c0"), many) == {}, "neither runs few"
+    assert left(few, many, waiting=40) == {}, "the trigger is not quiet"
+
+
 def test_machines_that_are_no_good_leave() -> None:
     fleet = Fleet(Tuning(), S, 10 * S)
     machines = [
