--- a/src/ramptide/app.py
+++ b/src/ramptide/app.py
@@ -17,7 +17,7 @@
 from ramptide.floor import SILENT, Floor
 from ramptide.jobs import Home, Job, Work
 from ramptide.leader import Leader
-from ramptide.membership import VIEW, Membership, View, owner_of
+from ramptide.membership import LIFE, VIEW, Membership, View, owner_of
 from ramptide.mirror import Mirror
 from ramptide.peers import Peers
 from ramptide.records import FLAVORS, JOB, RENTAL, SETTINGS, JobRecord, MachineRecord, RentalRecord
@@ -31,12 +31,12 @@
 log = logging.getLogger(__name__)
 
 ZERO = timedelta(0)
-ROUND = timedelta(milliseconds=50)
+ROUND, IDLE_ROUND = timedelta(milliseconds=50), timedelta(milliseconds=100)
 QUIET_ROUND = timedelta(milliseconds=300)
 PROOF_FOR_STARTS = timedelta(seconds=2.5)
 ANSWER_MARGIN = timedelta(seconds=2)
 #: Long enough for a restart of a controller that has to agree, short enough for a new view, which waits for it.
-ANSWER_MOST = timedelta(seconds=8)
+ANSWER_MOST = timedelta(seconds=6)
 FLAVORS_EVERY = timedelta(seconds=60)
 OWNERS_KEPT = 20_000
 UNSETTLED_LONG = timedelta(seconds=4)
@@ -121,28 +121,35 @@
 
     # Authority.
 
-    def _proof(self) -> timedelta | None:
+    def _proof(self, kept: bool = False) -> timedelta | None:
         """The moment of the last proof that our view is the present one: the state service's word, or all
-        the other members' word that they lack it as we do, so that nobody can have moved the view on."""
-        proofs = [self.mirror.proof]
-        if self.mirror.lacking:
-            proofs.append(self.peers.agreement())
-        known = [proof for proof in proofs if proof is not None]
-        return max(known) if known else None
-
-    def proven_within(self, span: timedelta) -> bool:
-        proof = self._proof()
+        the other members' word that they lack it as we do, so that nobody can have moved the view on.
+        `kept`: nor, by our grant, that we may be left out before `LIFE` has passed."""
+        proof = self.mirror.proof
+        if kept and proof is not None:
+            proof = None if self.membership.kept is None else min(proof, self.membership.kept)
+        agreed = self.peers.agreement() if self.mirror.lacking else None
+        if proof is None or agreed is None:
+            return agreed if proof is None else proof
+        return max(proof, agreed)
+
+    def _proven_within(self, span: timedelta, kept: bool = False) -> bool:
+        proof = self._proof(kept)
         return proof is not None and self.context.now - proof < span
 
+    def may_renew(self) -> bool:
+        """Others count on that this ends `answer_for` after our grant was last found alive (`_others_end`)."""
+        return self._proven_within(self.answer_for, kept=True)
+
     def common(self) -> dict[str, int]:
         """What every transaction of ours is conditional on."""
         return {VIEW: self.membership.view_stamp}
 
     def may_start(self) -> bool:
-        return self.may_answer() and self.proven_within(PROOF_FOR_STARTS)
+        return self.may_answer() and self._proven_within(PROOF_FOR_STARTS)
 
     def may_answer(self) -> bool:
-        if not self.membership.serving or not self.proven_within(self.answer_for):
+        if not self.membership.serving or not self.may_renew():
             return False
         # Another controller acts in a newer view. Its workers must find their new owners, not us.
         return self.view is not None and self.peers.newest <= self.view.number
@@ -355,12 +362,14 @@
         self.reports.new_view()
 
     def _others_end(self) -> timedelta | None:
-        """The moment after which no member of an earlier view can have answered a report."""
+        """The moment after which no member of an earlier view can have answered a report. One that was left out had
+        lost its grant by then, so it was last found alive `LIFE` before."""
         assert self.view is not None
+        authority = self.answer_for - LIFE / DRIFT
         ends = [self.view_at]
         for member, inc in self.view.lingering.items():
             proof = self.peers.ended(member, inc, self.view.number)
-            ends.append(proof if proof is not None else self._lingering_since[(member, inc)] + self.answer_for)
+            ends.append(proof if proof is not None else self._lingering_since[(member, inc)] + authority)
         for member in self.view.members:
             if member == self.member:
                 continue
@@ -372,14 +381,16 @@
     # The round: what is decided from all that came in.
 
     def _tick(self) -> None:
-        self.context.after(ROUND, self._tick)
         now = self.context.now
         if self.home is None or self.part is None or self.view is None:
+            self.context.after(IDLE_ROUND, self._tick)
             self.syncing.send_outside()
             return
-        self.reports.answer_held(now)
         slow = now - self._last_round >= QUIET_ROUND
-        if slow or self.home.touched or self.part.dirty:
+        news = self.home.touched or bool(self.part.dirty)
+        self.context.after(ROUND if news else IDLE_ROUND, self._tick)
+        self.reports.answer_held(now)
+        if slow or news:
             self._round(self.home, self.part, now, slow)
         self.syncing.send(self.home, self.part, now)
 
--- a/src/ramptide/membership.py
+++ b/src/ramptide/membership.py
@@ -69,6 +69,8 @@
         self._context = store.context
         self.member = member
         self.incarnation = incarnation
+        self._process = incarnation
+        self._losses = 0
         self._nodes = nodes
         self._changed = changed
         self.state = State.APPLYING
@@ -76,6 +78,8 @@
         self.view_stamp = 0
         self._grant: int | None = None
         self._touched = timedelta(0)
+        #: When the last request was sent that found our grant alive: until `LIFE` after it nobody leaves us out.
+        self.kept: timedelta | None = None
         self._members: dict[str, str] = {}
         self._leader: dict[str, str] | None = None
         self._busy = False
@@ -163,30 +167,42 @@
         if self._busy:
             return
         self._busy = True
+        sent = self._context.now
 
         def done(grant: int | None) -> None:
             self._busy = False
             self._grant = grant
+            if grant is not None:
+                self.kept = sent
             self._touched = self._context.now
             self._judge()
 
         self._store.grant(LIFE, done)
 
     def _touch(self) -> None:
-        self._touched = self._context.now
+        sent = self._touched = self._context.now
         grant = self._grant
         assert grant is not None
 
         def done(alive: bool | None) -> None:
+            if alive and self._grant == grant:
+                self.kept = sent
             if alive is False and self._grant == grant:
-                log.info("our grant ran out")
-                self._grant = None
-                self._judge()
+                self._lose_grant()
             elif alive is None:
                 self._touched = min(self._touched, self._context.now - TOUCH + STEP)
 
         self._store.touch(grant, done)
 
+    def _lose_grant(self) -> None:
+        """Our key is gone, so any leader may leave us out from now on: what we were ends here, and we stand anew as
+        another incarnation. So a member that was left out was last found alive `LIFE` before, under that name."""
+        self._losses += 1
+        self.incarnation = f"{self._process}.{self._losses}"
+        log.info("our grant ran out: we go on as %s", self.incarnation)
+        self._grant = self.kept = None
+        self._judge()
+
     def _commit(self, txn: Txn) -> None:
         self._busy = True
 
--- a/src/ramptide/peers.py
+++ b/src/ramptide/peers.py
@@ -18,6 +18,8 @@
 PATH = "/sync"
 TIMEOUT = timedelta(seconds=1)
 EVERY = timedelta(seconds=0.5)
+#: News for a peer gathers so long: each message costs both sides the same few turns whatever it holds.
+GAP = timedelta(milliseconds=100)
 ZERO = timedelta(0)
 #: Raised when messages change so that another version would misread them.
 WIRE = 2
@@ -67,6 +69,7 @@
     name: str
     address: str
     busy: bool = False
+    sent: timedelta | None = None
     inbox: Inbox = field(default_factory=Inbox)
     taken: int = 0
     due: timedelta = ZERO
@@ -111,7 +114,12 @@
 
     def due(self) -> list[Peer]:
         """Those that are to be sent a message now."""
-        return [peer for peer in self.all.values() if peer.due <= self._context.now and not peer.busy]
+        now = self._context.now
+        return [
+            peer
+            for peer in self.all.values()
+            if peer.due <= now and not peer.busy and (peer.sent is None or now - peer.sent >= GAP)
+        ]
 
     def hurry_all(self) -> None:
         for peer in self.all.values():
@@ -125,6 +133,7 @@
         """One message is under way to a peer at a time; the next one carries all that is newer."""
         peer.busy = True
         sent, generation = self._context.now, self._generation
+        peer.sent = sent
         peer.due = sent + every
 
         def done(reply: Reply | None) -> None:
--- a/src/ramptide/workers.py
+++ b/src/ramptide/workers.py
@@ -81,7 +81,7 @@
     def _not_ours(self, owner: str, beat: wire.Beat, token: int, answer: BeatAnswer) -> None:
         if self._stands_in(owner, beat):
             answer(200, wire.encode_beat_answer(token, []))
-        elif not self._c.proven_within(self._c.answer_for):
+        elif not self._c.may_renew():
             answer(503, b"{}")
         else:
             answer(421, wire.encode_foreman(owner))
