Rooms are worked out job by job; machines hang, controllers stand still and zones are cut off in the virtual world

The virtual world: machines that hang past their lease, controllers that stand still while clocks run, zones cut off with a controller in them, peers that refuse.

--- a/src/ramptide/floor.py
+++ b/src/ramptide/floor.py
@@ -1,12 +1,12 @@
 """What is known of all machines, ours and the others', and what room they have: indexes kept up to date by events."""
 
 from collections import Counter
-from collections.abc import Callable, Iterable, Iterator, Mapping
+from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
 
 from ramptide import wire
-from ramptide.agents import OVER, OVER_NAMES, EntryId, HostRow, TaskRow
+from ramptide.agents import OVER, OVER_NAMES, HostRow, TaskRow
 from ramptide.jobs import Attempt, Job
 from ramptide.placement import Room, empty_room
 from ramptide.records import MachineRecord
@@ -44,7 +44,7 @@
         machines: Mapping[str, MachineRecord],
         flavors: Mapping[str, wire.Flavor],
         jobs: Mapping[str, Job],
-        attempts: Callable[[str], Iterable[Attempt]],
+        attempts: Callable[[str], Collection[Attempt]],
     ) -> None:
         self._machines = machines
         self._flavors = flavors
@@ -117,19 +117,22 @@
     def _list(self, name: str, tasks: list[TaskRow]) -> None:
         host = self.hosts[name]
         before, after = {row[0] for row in host.tasks}, {row[0] for row in tasks}
+        for row in host.tasks:
+            if row[3] == wire.RUNNING:
+                self.running[row[0]] -= 1
+        for row in tasks:
+            if row[3] == wire.RUNNING:
+                self.running[row[0]] += 1
         for ref in before - after:
             where = self._where.get(ref, set())
             where.discard(name)
             if not where:
                 self._where.pop(ref, None)
                 self._left.pop(ref, None)
-        for ref in after - before:
-            self._where.setdefault(ref, set()).add(name)
-        self.running.subtract(row[0] for row in host.tasks if row[3] == wire.RUNNING)
-        self.running.update(row[0] for row in tasks if row[3] == wire.RUNNING)
-        for ref in before - after:
             if not self.running[ref]:
                 del self.running[ref]
+        for ref in after - before:
+            self._where.setdefault(ref, set()).add(name)
         host.tasks = tasks
         host.busy = sum(row[3] not in OVER_NAMES for row in tasks)
 
@@ -175,28 +178,28 @@
             return None
         if host.quiet or host.deaf_since is not None or host.failing >= self.tuning.sick_jobs:
             return None
-        shown: set[EntryId] = set()
-        taken: list[wire.Run] = []
-        for ref, task, number, phase, _cause in host.tasks:
-            if phase in OVER_NAMES:
-                continue
+        here: Counter[str] = Counter(row[0] for row in host.tasks if row[3] not in OVER_NAMES)
+        taken: list[tuple[wire.Run, int]] = []
+        for ref, count in here.items():
             run = self._run(ref)
             if run is None:
                 # A job that was over before, or that we have yet to hear of: nobody knows what it takes.
                 self._unclear.add(name)
                 return None
-            taken.append(run)
-            shown.add((ref, task, number))
-        taken += [a.run for a in self._attempts(name) if a.key not in shown and a.phase not in OVER]
+            taken.append((run, count))
+        attempts = self._attempts(name)
+        if attempts:
+            shown = {row[:3] for row in host.tasks if row[3] not in OVER_NAMES}
+            taken += [(a.run, 1) for a in attempts if a.phase not in OVER and a.key not in shown]
         room = empty_room(flavor, record.yard, record.spot, name)
-        for run in taken:
-            room.take(run)
+        for run, count in taken:
+            room.take(run, count)
         room.images = frozenset(host.images)
         room.idle = not taken
         room.quick = host.quick
         # Services are what people wait for: the pool is theirs, and part of the machines that run some.
         room.kept = not record.spot and name in self.pool
-        room.services = sum((run.cores for run in taken if run.shape == wire.SERVICE), 0.0)
+        room.services = sum((run.cores * count for run, count in taken if run.shape == wire.SERVICE), 0.0)
         room.share = (flavor.cores * self.tuning.service_share, flavor.ram_gb * self.tuning.service_share)
         return room
 
--- a/src/ramptide/membership.py
+++ b/src/ramptide/membership.py
@@ -210,6 +210,9 @@
             self._busy = False
             if outcome.epoch is not None:
                 self._mirror.applied(outcome.epoch, txn.puts, txn.drops)
+            else:
+                # Perhaps for want of a grant: the next touch tells.
+                self._touched = min(self._touched, self._context.now - TOUCH)
 
         self._store.txn(txn, done)
 
--- a/tests/chaos.py
+++ b/tests/chaos.py
@@ -9,6 +9,7 @@
 TROUBLES = (
     "crash", "crash_all", "roll", "outage", "refused", "isolate", "cut_state", "cut_worker", "cut_worker_from_node",
     "die", "cloud_down", "sick", "cancel", "loss", "quick_restart", "deaf", "late_reports", "election", "workers_only",
+    "freeze", "hang", "zone_cut", "peers_refuse",
 )  # fmt: skip
 
 
@@ -49,11 +50,7 @@
         if status not in (200, 201) and tries:
             world.after(1 * S, lambda: submit(world, rng, ref, tries - 1))
 
-    controller = world.nodes[rng.choice(world.names)].controller
-    if controller is None:
-        again(503)
-    else:
-        controller.desk.submit(body, again)
+    world.nodes[rng.choice(world.names)].ask(lambda c: c.desk.submit(body, again), lambda: again(503))
 
 
 def withdraw(world: World, rng: random.Random, ref: str) -> None:
@@ -63,11 +60,9 @@
         elif status == 503:
             world.after(1 * S, lambda: withdraw(world, rng, ref))
 
-    controller = world.nodes[rng.choice(world.names)].controller
-    if controller is None:
-        world.after(1 * S, lambda: withdraw(world, rng, ref))
-    else:
-        controller.desk.cancel(ref, told)
+    world.nodes[rng.choice(world.names)].ask(
+        lambda c: c.desk.cancel(ref, told), lambda: world.after(1 * S, lambda: withdraw(world, rng, ref))
+    )
 
 
 def trouble(world: World, rng: random.Random, kind: str) -> None:
@@ -121,6 +116,25 @@
     elif kind == "workers_only":
         world.isolate(name, *world.workers)
         world.after(span, world.heal)
+    elif kind == "freeze":
+        world.nodes[name].freeze(rng.uniform(4, 20))
+    elif kind == "hang":
+        for worker in rng.sample(live, len(live) // 2):
+            worker.hang(rng.uniform(4, 20))
+    elif kind == "zone_cut":
+        # A zone with its machines and a controller: inside it goes on working, to all others it is silent.
+        inside = [worker.host for worker in live if worker.yard == "a"]
+        world.isolate(name, *inside)
+        for host in inside:
+            for each in world.names:
+                if each != name:
+                    world.cut(host, each)
+        world.after(rng.uniform(5, 25) * S, world.heal)
+    elif kind == "peers_refuse":
+        for one in world.names:
+            for other in world.names:
+                world.cut(one, other)
+        world.after(span, world.heal)
     elif kind == "sick" and live:
         rng.choice(live).sick = True
     elif kind == "cancel" and world.jobs:
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -44,9 +44,8 @@
             Server(self.loop, address, self.serve(name), 100, HOUR)
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         for name in self.names:
-            self.nodes[name] = SimpleNamespace(
-                controller=SimpleNamespace(reports=SimpleNamespace(beat=self.beat_to(name)))
-            )  # type: ignore[assignment]
+            reached = SimpleNamespace(reports=SimpleNamespace(beat=self.beat_to(name)))
+            self.nodes[name] = SimpleNamespace(ask=lambda call, dead, to=reached: call(to))  # type: ignore[assignment]
 
     @property
     def now(self) -> timedelta:
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -533,3 +533,85 @@
     assert world.run_until(lambda: controller.latched and controller.may_answer(), 15)
     assert controller.view is not None and controller.view.members[name] == controller.membership.incarnation
     assert world.rules.broken == []
+
+
+def cut_off_a_zone(world: World) -> None:
+    """A controller and half of the machines hear only each other for well over a lease; then held packets arrive."""
+    world.cloud.down = world.hold_mode = True
+    parts = {name: node.controller.part for name, node in world.nodes.items() if node.controller is not None}
+    busy = {worker.host for worker, _ in world.rules.on_machines()}
+    inside = next(name for name, part in parts.items() if part is not None and busy & part.agents.keys())
+    machines = [host for host in world.workers if host in parts[inside].agents]  # type: ignore[union-attr]
+    world.isolate(inside, *machines)
+    for host in machines:
+        for name in world.names:
+            if name != inside:
+                world.cut(host, name)
+    for _ in range(250):
+        world.run(0.1)
+        world.rules.check()
+    world.heal()
+    world.run(15)
+
+
+def test_tasks_of_a_zone_that_is_cut_off_run_again_only_when_they_are_gone() -> None:
+    world = busy_world(guessS=500.0)
+    before = sum(worker.alive for worker in world.workers.values())
+    cut_off_a_zone(world)
+    assert world.rules.broken == []
+    assert len(world.rules.on_machines()) == 6, "all run again"
+    assert sum(worker.alive for worker in world.workers.values()) >= before, "its machines are of use again"
+
+
+def test_when_the_controller_in_there_renews_without_proof_they_run_twice(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Controller, "may_renew", lambda self: True)
+    world = busy_world(guessS=500.0)
+    cut_off_a_zone(world)
+    assert any("ran_twice" in rule for rule in world.rules.broken)
+
+
+def hang_half(world: World, seconds: float) -> list[Worker]:
+    hung = sorted({worker.host for worker, _ in world.rules.on_machines()})[::2]
+    for host in hung:
+        world.workers[host].hang(seconds)
+    for _ in range(int(seconds * 10) + 100):
+        world.run(0.1)
+        world.rules.check()
+    return [world.workers[host] for host in hung]
+
+
+def test_machines_that_hang_past_their_lease_come_back_empty_and_are_used_again() -> None:
+    world = busy_world(guessS=500.0)
+    hung = hang_half(world, 12)
+    assert world.rules.broken == [] and len(world.rules.on_machines()) == 6
+    assert all(worker.alive and worker.tenure == 2 for worker in hung)
+    world.submit("j-2", pieces=40, cores=1.0, guessS=30.0)
+    assert world.accepted("j-2", "c0")
+    assert world.run_until(lambda: any(worker.tasks for worker in hung), 20)
+    assert world.rules.broken == []
+
+
+def test_given_up_before_their_leases_end_their_tasks_run_twice(monkeypatch: pytest.MonkeyPatch) -> None:
+    world = busy_world(guessS=500.0)
+    for node in world.nodes.values():
+        assert node.controller is not None and node.controller.part is not None
+        monkeypatch.setattr(node.controller.part, "_lease", 2 * S)
+    hang_half(world, 12)
+    assert any("ran_twice" in rule for rule in world.rules.broken)
+
+
+def test_a_controller_that_stood_still_starts_nothing_by_what_it_knew() -> None:
+    """Others took over meanwhile; timers, reports and messages of 12 s are due at once when it goes on."""
+    world = busy_world(guessS=15.0)
+    frozen = leader(world)
+    world.submit("j-2", pieces=12, cores=2.0, guessS=10.0)
+    world.ask(frozen, lambda c: c.desk.submit(json.dumps(world.jobs["j-2"]).encode(), lambda *said: None))
+    world.nodes[frozen].freeze(12)
+    world.run(11.9)
+    controller = world.nodes[frozen].controller
+    assert controller is not None and leader_of_others(world, frozen) != frozen
+    starts = controller.counters["starts"]
+    world.run(0.2)
+    assert controller.counters["starts"] == starts and not controller.may_start()
+    assert world.run_until(lambda: world.done("j-1") and (not world.accepted("j-2", "c0") or world.done("j-2")), 90)
+    assert world.rules.broken == []
--- a/tests/world.py
+++ b/tests/world.py
@@ -153,9 +153,7 @@
         return False
 
     def ask(self, node: str, call: Callable[[Controller], None]) -> None:
-        controller = self.nodes[node].controller
-        if controller is not None:
-            call(controller)
+        self.nodes[node].ask(call)
 
     def poll(self, ref: str, node: str) -> tuple[int, dict[str, Any]] | None:
         got: list[tuple[int, dict[str, Any]]] = []
@@ -216,7 +214,7 @@
 
         def fire() -> None:
             if self.alive and handle.live:
-                action()
+                self.node.awake(self, action)
 
         self.world.after(delay, fire)
         return handle
@@ -226,7 +224,7 @@
     ) -> None:
         def finish(reply: Reply | None) -> None:
             if self.alive:
-                done(reply)
+                self.node.awake(self, lambda: done(reply))
 
         self.world.calls[method + " " + urlsplit(target).path.split("/")[1]] += 1
         self.world.sent_bytes[address] += len(body)
@@ -237,9 +235,11 @@
             elif address == CLOUD:
                 self.world.cloud.handle(method, target, body, answer)
             else:
-                controller = self.world.nodes[address].controller
-                said = controller.syncing.take(body) if controller is not None else None
-                answer(503 if said is None else 200, said or b"")
+                self.world.nodes[address].ask(lambda c: take(c, answer), lambda: answer(503, b""))
+
+        def take(controller: Controller, answer: Answer) -> None:
+            said = controller.syncing.take(body)
+            answer(503 if said is None else 200, said or b"")
 
         self.world.send(self.node.name, address, request, timeout, finish)
 
@@ -253,6 +253,26 @@
         self.controller: Controller | None = None
         self._context: VirtualContext | None = None
         self._starts = 0
+        self._frozen_until = timedelta(0)
+
+    def freeze(self, seconds: float) -> None:
+        """The process stands still while its clocks run on; timers and all that came in are due at once then."""
+        self._frozen_until = self.world.now + seconds * S
+
+    def awake(self, context: VirtualContext, action: Callable[[], None]) -> None:
+        """Does it now, or when the process goes on, if that still lives."""
+        if self.world.now >= self._frozen_until:
+            action()
+        else:
+            self.world.after(self._frozen_until - self.world.now, lambda: context.alive and self.awake(context, action))
+
+    def ask(self, call: Callable[[Controller], None], dead: Callable[[], None] = lambda: None) -> None:
+        """A request that reaches the process."""
+        controller, context = self.controller, self._context
+        if controller is None or context is None:
+            dead()
+        else:
+            self.awake(context, lambda: call(controller))
 
     def start(self) -> None:
         self._starts += 1
@@ -282,6 +302,7 @@
         if self._context is not None:
             self._context.alive = False
         self.controller = None
+        self._frozen_until = timedelta(0)
 
 
 class StateService:
@@ -470,6 +491,7 @@
     node: int = 0
     tasks: dict[tuple[str, int, int], Task] = field(default_factory=dict)
     answered_sent: timedelta = timedelta(0)
+    hung_until: timedelta = timedelta(0)
 
     LEASE = 8 * S
 
@@ -484,17 +506,36 @@
         self.alive = False
         self.tasks.clear()
 
-    def _watch_lease(self) -> None:
-        if not self.alive:
-            return
+    def hang(self, seconds: float) -> None:
+        """Nothing moves here for a while; then it goes on with what it had, its lease first."""
+        self.hung_until = self.world.now + seconds * S
+        self.world.after(seconds * S, self._check_lease)
+
+    def _hangs(self, action: Callable[[], None]) -> bool:
+        if self.world.now < self.hung_until:
+            self.world.after(self.hung_until - self.world.now + MS, action)
+            return True
+        return False
+
+    @property
+    def holding(self) -> bool:
+        """What it has may still run: a machine that hangs past its lease ends all when it goes on."""
+        return self.alive and (self.world.now >= self.hung_until or self.world.now - self.answered_sent <= self.LEASE)
+
+    def _check_lease(self) -> None:
         if self.world.now - self.answered_sent > self.LEASE:
             self.tasks.clear()
             self.tenure += 1
             self.answered_sent = self.world.now
+
+    def _watch_lease(self) -> None:
+        if not self.alive or self._hangs(self._watch_lease):
+            return
+        self._check_lease()
         self.world.after(100 * MS, self._watch_lease)
 
     def _report(self) -> None:
-        if not self.alive:
+        if not self.alive or self._hangs(self._report):
             return
         sent, tenure = self.world.now, self.tenure
         self.tally += 1
@@ -511,17 +552,15 @@
         target = self.world.names[self.node]
 
         def request(answer: Answer) -> None:
-            controller = self.world.nodes[target].controller
-            if controller is None:
-                answer(503, {})
-            else:
-                controller.reports.beat(body, answer)
+            self.world.nodes[target].ask(lambda c: c.reports.beat(body, answer), lambda: answer(503, {}))
 
         self.world.send(self.host, target, request, 4 * S, lambda reply: self._answered(sent, tenure, reply))
 
     def _answered(self, sent: timedelta, tenure: int, reply: Reply | None) -> None:
-        if not self.alive:
+        if not self.alive or self._hangs(lambda: self._answered(sent, tenure, reply)):
             return
+        if self.world.now - sent > 4 * S:
+            reply = None  # given up
         wait = 1.0 * self.world.rng.uniform(0.75, 1.25)
         if reply is not None and reply.status == 200:
             told = json.loads(reply.body)
@@ -562,6 +601,8 @@
             self.world.after(300 * MS, lambda: self._start(task, spec))
 
     def _start(self, task: Task, spec: dict[str, Any]) -> None:
+        if self._hangs(lambda: self._start(task, spec)):
+            return
         if self.tasks.get((task.ref, task.number, task.attempt)) is not task or task.status != "fetching":
             return
         task.status = "running"
@@ -572,6 +613,8 @@
             self.world.after(spec["guessS"] * S, lambda: self._finish(task, "done"))
 
     def _finish(self, task: Task, cause: str) -> None:
+        if self._hangs(lambda: self._finish(task, cause)):
+            return
         if self.tasks.get((task.ref, task.number, task.attempt)) is task and task.status == "running":
             if cause == "done":
                 self.world.rules.finished.add((task.ref, task.number))
@@ -595,7 +638,7 @@
         return [
             (worker, task)
             for worker in self.world.workers.values()
-            if worker.alive
+            if worker.holding
             for task in worker.tasks.values()
             if task.status == "running"
         ]
