Agreement says nothing of grants: renewing by it ends earlier; our own answer proves no end of others'

Found by reading the change again. And a machine's bound carried over from the view before may lie ahead; an answer of ours that does not arrive must not replace it. A sole controller that lacks the state service no longer fails on an empty list of peers.

--- a/src/ramptide/agents.py
+++ b/src/ramptide/agents.py
@@ -475,7 +475,8 @@
             if not agent.quiet and now - (agent.heard or agent.since) > self._silent:
                 agent.quiet = True
                 self.changed(agent.host)
-            last = agent.answered or agent.since
+            # `since` may lie ahead: who was left out may answer for a moment yet, and our own answer may not arrive.
+            last = max(agent.answered or agent.since, agent.since)
             if not agent.settled and not agent.bounded:
                 if others_end is None:
                     continue
--- a/src/ramptide/app.py
+++ b/src/ramptide/app.py
@@ -124,14 +124,19 @@
     def _proof(self, kept: bool = False) -> timedelta | None:
         """The moment of the last proof that our view is the present one: the state service's word, or all
         the other members' word that they lack it as we do, so that nobody can have moved the view on.
-        `kept`: nor, by our grant, that we may be left out before `LIFE` has passed."""
-        proof = self.mirror.proof
-        if kept and proof is not None:
-            proof = None if self.membership.kept is None else min(proof, self.membership.kept)
-        agreed = self.peers.agreement() if self.mirror.lacking else None
-        if proof is None or agreed is None:
-            return agreed if proof is None else proof
-        return max(proof, agreed)
+
+        `kept`: the last moment at which, `LIFE` later, nobody can have left us out: our grant was alive then. Nobody
+        knows that of our grant while all lack the state service, only that we have not been left out yet.
+        """
+        proof, agreed = self.mirror.proof, self.peers.agreement()
+        if kept:
+            held = self.membership.kept
+            proof = min(proof, held) if proof is not None and held is not None else None
+            agreed = agreed - LIFE if agreed is not None else None
+        elif not self.mirror.lacking:
+            agreed = None
+        known = [one for one in (proof, agreed) if one is not None]
+        return max(known) if known else None
 
     def _proven_within(self, span: timedelta, kept: bool = False) -> bool:
         proof = self._proof(kept)
--- a/src/ramptide/jobs.py
+++ b/src/ramptide/jobs.py
@@ -425,18 +425,14 @@
 def urgency(
     job: Job, idle: timedelta, now: datetime, prompt: Container[str], patience: timedelta
 ) -> tuple[Any, ...]:
-    """Sort key: rank, then the classes that are to start promptly, then by what can still be made: in time by
-    deadline; what is late by the work that is left, since more jobs end soon when small ones go first; then the
-    order of submission."""
+    """Sort key: rank, then the classes that are to start promptly, then by what can still be made, each by its
+    deadline, then the order of submission."""
     run = job.run
-    made = chance(job, idle, now, patience)
-    late = made in (Chance.LATE, Chance.TOO_LATE)
     return (
         -wire.RANKS.index(run.rank),
         run.job_class not in prompt,
         run.shape != wire.SERVICE,
-        made,
-        (run.pieces - job.progress.count) * run.cores * run.guess_s if late else 0.0,
+        chance(job, idle, now, patience),
         job.due or FAR,
         job.submitted,
         run.ref,
--- a/src/ramptide/peers.py
+++ b/src/ramptide/peers.py
@@ -160,7 +160,7 @@
         """The moment since which all others have said that they lack the state service as we do."""
         moments = [peer.agreed for peer in self.all.values()]
         known = [moment for moment in moments if moment is not None]
-        return min(known) if len(known) == len(moments) else None
+        return min(known, default=self._context.now) if len(known) == len(moments) else None
 
     def ended(self, member: str, inc: str, view: int) -> timedelta | None:
         """The moment by which this process surely answered no more reports under a view before `view`:
