--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -292,3 +292,41 @@
     assert state / seconds < 200 and world.calls["POST rentals"] <= 28
     assert world.calls["POST sync"] / seconds < 100
     assert sum(world.sent_bytes[name] for name in world.names) / seconds < 200_000
+
+
+def test_a_thousand_machines_and_one_survivor_of_five() -> None:
+    """Nine hundred machines for some thousand tasks; then four of five controllers are gone for good."""
+    world = World(11, members=5, capacity=1000)
+    world.limits |= {"rps": 250.0, "write_rps": 60.0, "value_kb": 4.0}
+    world.cloud.boots = (2.0, 6.0)
+    for node in world.nodes.values():
+        node.start()
+    world.run(3)
+    for number in range(100):
+        world.submit(f"j-{number}", shape="service", pieces=1, cores=1.0, rank="high")
+    for number in range(100, 122):
+        world.submit(f"j-{number}", pieces=150, cores=2.0, guessS=12.0)
+    rng = random.Random(11)
+    for number, ref in enumerate(world.jobs):
+        world.after(number * 0.02 * S, lambda ref=ref: submit(world, rng, ref))  # type: ignore[misc]
+    world.run(14)
+    up = sum(worker.alive for worker in world.workers.values())
+    assert up > 700, "the fleet grows in time"
+    values = [len(json.dumps(value)) for value, _, _ in world.state.data.values()]
+    assert max(values) < 4096, "every record fits a value"
+
+    gone = [name for name in world.names if name != "c3"]
+    for name in gone:
+        world.nodes[name].kill()
+    survivor = world.nodes["c3"].controller
+    assert survivor is not None
+    assert world.run_until(lambda: survivor.view is not None and list(survivor.view.members) == ["c3"], 10)
+    assert world.run_until(lambda: survivor.latched, 12), "the lease is 8 s"
+    assert survivor.part is not None and len(survivor.part.agents) > 700
+    world.calls.clear()
+    world.run(6)
+    assert sum(world.done(f"j-{number}") for number in range(100, 122)) > 0
+    assert sum(task.ref == "j-1" for _, task in world.rules.on_machines()) == 1
+    state = sum(count for call, count in world.calls.items() if not call.startswith(("POST sync", "POST rentals")))
+    assert state / 6 < 125, "half of the state service's limit at most"
+    assert world.rules.broken == []
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -1,10 +1,15 @@
-"""The parser against generated splits of its input."""
+"""The parser against generated splits of its input; who makes room when all connections are in use."""
+
+import socket
+from collections.abc import Callable
+from datetime import timedelta
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from ramptide.http import HttpError, Message, Parser, encode_request, encode_response
+from ramptide.http import HttpError, Message, Parser, Server, encode_request, encode_response
+from ramptide.loop import Loop
 
 BODIES = st.binary(max_size=300)
 
@@ -82,3 +87,31 @@
     assert parser.next() is None
     message = parser.closed()
     assert message is not None and message.body == b"part and rest"
+
+
+def test_over_the_cap_the_connection_that_is_quiet_longest_makes_room() -> None:
+    loop = Loop()
+    server = Server(loop, "127.0.0.1:0", lambda exchange: exchange.respond(200, b"{}"), 3, timedelta(hours=1))
+    address = server.sock.getsockname()
+
+    def until(condition: Callable[[], bool]) -> None:
+        loop.after(timedelta(seconds=5), loop.stop)
+        for _ in range(200):
+            if condition():
+                return
+            loop.turn()
+        raise AssertionError("it did not come to that")
+
+    clients = []
+    for count in (1, 2, 3):
+        clients.append(socket.create_connection(address, 5))
+        until(lambda count=count: len(server.connections) == count)  # type: ignore[misc]
+    first, second, third = server.connections
+    clients[0].sendall(b"GET / HTTP/1.1\r\n\r\n")
+    until(lambda: list(server.connections) == [second, third, first])
+    clients.append(socket.create_connection(address, 5))
+    until(lambda: not second.open)
+    assert first.open and third.open and len(server.connections) == 3
+    for client in clients:
+        client.close()
+    server.sock.close()
