Tests: one way to cut off a controller with its machines, one to find a machine's owner

The zone cut of the generated histories, the zone test and the test of refused grants each wrote the same cuts; three tests searched the parts for an owner.

--- a/tests/chaos.py
+++ b/tests/chaos.py
@@ -123,12 +123,7 @@
             worker.hang(rng.uniform(4, 20))
     elif kind == "zone_cut":
         # A zone with its machines and a controller: inside it goes on working, to all others it is silent.
-        inside = [worker.host for worker in live if worker.yard == "a"]
-        world.isolate(name, *inside)
-        for host in inside:
-            for each in world.names:
-                if each != name:
-                    world.cut(host, each)
+        world.cut_off(name, [worker.host for worker in live if worker.yard == "a"])
         world.after(rng.uniform(5, 25) * S, world.heal)
     elif kind == "peers_refuse":
         for one in world.names:
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -6,7 +6,7 @@
 
 import pytest
 from chaos import play, submit, withdraw
-from world import S, Worker, World, job, leader, started
+from world import S, Worker, World, job, leader, owner, started
 
 from ramptide.agents import OVER_NAMES, Part
 from ramptide.app import Controller
@@ -114,11 +114,10 @@
     cloud is down, so that the silent machines cannot be given back."""
     world.cloud.down = True
     worker, _ = world.rules.on_machines()[0]
-    parts = {name: node.controller.part for name, node in world.nodes.items() if node.controller is not None}
-    owner = next(name for name, part in parts.items() if part is not None and worker.host in part.agents)
-    world.isolate(owner, *world.workers)
+    alone = owner(world, worker.host)
+    world.isolate(alone, *world.workers)
     world.run(6)
-    other = next(name for name in world.names if name != owner)
+    other = next(name for name in world.names if name != alone)
     assert world.run_until(lambda: world.cancel("j-1", other), 10)
     for _ in range(250):
         world.run(0.1)
@@ -475,10 +474,8 @@
     world.cloud.down = True
     lost, _ = world.rules.on_machines()[0]
     lost.die()
-    parts = {name: node.controller.part for name, node in world.nodes.items() if node.controller is not None}
-    owner = next(name for name, part in parts.items() if part is not None and lost.host in part.agents)
-    other = next(name for name in world.names if name not in (owner, leader(world)))
-    began, controller = world.now, world.nodes[owner].controller
+    other = next(name for name in world.names if name not in (owner(world, lost.host), leader(world)))
+    began, controller = world.now, world.nodes[owner(world, lost.host)].controller
     assert controller is not None
     for _ in range(3):
         world.nodes[other].kill()
@@ -537,18 +534,17 @@
     assert world.rules.broken == []
 
 
+def busy_part(world: World) -> tuple[str, list[str]]:
+    """A controller with tasks on its machines, and all these machines."""
+    busy = {worker.host for worker, _ in world.rules.on_machines()}
+    name = next(name for name in world.names if any(owner(world, host) == name for host in busy))
+    return name, [host for host, worker in world.workers.items() if worker.alive and owner(world, host) == name]
+
+
 def cut_off_a_zone(world: World) -> None:
     """A controller and half of the machines hear only each other for well over a lease; then held packets arrive."""
     world.cloud.down = world.hold_mode = True
-    parts = {name: node.controller.part for name, node in world.nodes.items() if node.controller is not None}
-    busy = {worker.host for worker, _ in world.rules.on_machines()}
-    inside = next(name for name, part in parts.items() if part is not None and busy & part.agents.keys())
-    machines = [host for host in world.workers if host in parts[inside].agents]  # type: ignore[union-attr]
-    world.isolate(inside, *machines)
-    for host in machines:
-        for name in world.names:
-            if name != inside:
-                world.cut(host, name)
+    world.cut_off(*busy_part(world))
     for _ in range(250):
         world.run(0.1)
         world.rules.check()
@@ -623,17 +619,10 @@
     """Each controller is refused by itself, so grants run out although all agree that they lack the state service. Two
     are served again and leave out the third, which is cut off with its workers by then."""
     world.cloud.down = True
-    parts = {name: node.controller.part for name, node in world.nodes.items() if node.controller is not None}
-    busy = {worker.host for worker, _ in world.rules.on_machines()}
-    third = next(name for name, part in parts.items() if part is not None and busy & part.agents.keys())
-    machines = parts[third].agents.keys()  # type: ignore[union-attr]
+    third, machines = busy_part(world)
     world.state.refuses.update(world.names)
     world.run(4)
-    world.isolate(third, *machines)
-    for host in machines:
-        for name in world.names:
-            if name != third:
-                world.cut(host, name)
+    world.cut_off(third, machines)
     world.run(0.05)
     world.state.refuses.intersection_update({third})
     for _ in range(300):
--- a/tests/world.py
+++ b/tests/world.py
@@ -8,7 +8,7 @@
 import json
 import random
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from datetime import UTC, datetime, timedelta
 from typing import Any
@@ -85,6 +85,14 @@
             if other != name and other not in kept:
                 self.cut(name, other)
 
+    def cut_off(self, name: str, hosts: Collection[str]) -> None:
+        """A controller and some machines hear only each other."""
+        self.isolate(name, *hosts)
+        for host in hosts:
+            for other in self.names:
+                if other != name:
+                    self.cut(host, other)
+
     def heal(self) -> None:
         self.cuts.clear()
         self.deaf.clear()
@@ -690,6 +698,14 @@
     return world
 
 
+def owner(world: World, host: str) -> str:
+    """The controller whose part has the machine."""
+    for name, node in world.nodes.items():
+        if node.controller is not None and node.controller.part is not None and host in node.controller.part.agents:
+            return name
+    raise AssertionError("nobody's machine")
+
+
 def leader(world: World) -> str:
     for name, node in world.nodes.items():
         if node.controller is not None and node.controller.membership.leading:
