--- a/run.py
+++ b/run.py
@@ -5,6 +5,9 @@
 
 HERE = Path(__file__).resolve().parent
 sys.path[:0] = [str(HERE / "src"), str(HERE / "target" / "deps")]
+# The build compiles the modules into here. Without it a process that may not write beside the sources would compile
+# all of them at each start.
+sys.pycache_prefix = str(HERE / "target" / "bytecode")
 
 from ramptide.cli import main  # noqa: E402
 
--- a/src/ramptide/app.py
+++ b/src/ramptide/app.py
@@ -177,13 +177,12 @@
         because our grant was alive then. While nobody reaches the state service it is not known whether our grant is
         alive, only that we have not been removed yet.
         """
-        proof, agreed = self.mirror.proof, self.peers.agreement()
+        proof = self.mirror.proof
+        agreed = self.peers.agreement() if kept or self.mirror.lacking else None
         if kept:
             held = self.membership.kept
             proof = min(proof, held) if proof is not None and held is not None else None
             agreed = agreed - LIFE if agreed is not None else None
-        elif not self.mirror.lacking:
-            agreed = None
         known = [one for one in (proof, agreed) if one is not None]
         return max(known) if known else None
 
--- a/src/ramptide/cli.py
+++ b/src/ramptide/cli.py
@@ -7,6 +7,7 @@
 import sys
 from datetime import timedelta
 from http import HTTPStatus
+from importlib import import_module
 from pathlib import Path
 from typing import Any
 
@@ -34,6 +35,7 @@
     top.add_argument("--version", action="version", version=f"ramptide {__version__}")
     top.add_argument("--config", metavar="PATH", type=Path, help="run a controller with this settings file")
     commands = top.add_subparsers(dest="command", title="commands")
+    commands.add_parser("compile", help="compile the modules of a controller, so that it starts sooner")
     admin = commands.add_parser("admin", help="talk to a running controller's administration API")
     admin.add_argument("--address", required=True, metavar="HOST:PORT", help="the controller's peer address")
     verbs = admin.add_subparsers(dest="verb", required=True, title="verbs")
@@ -57,11 +59,20 @@
     options = top.parse_args(arguments)
     if options.command == "admin":
         return _administer(options)
+    if options.command == "compile":
+        return _compile()
     if options.config is None:
-        top.error("one of --config and the command admin is needed")
+        top.error("one of --config and the commands compile and admin is needed")
     return _run_controller(options.config)
 
 
+def _compile() -> int:
+    """Import all that a controller uses: the interpreter keeps the bytecode of what it imports."""
+    import_module("ramptide.service")
+    import_module("ramptide.metrics")
+    return 0
+
+
 def _run_controller(path: Path) -> int:
     try:
         loaded = settings.load(path)
--- a/src/ramptide/floor.py
+++ b/src/ramptide/floor.py
@@ -165,6 +165,8 @@
 
     def _list(self, name: str, tasks: list[TaskRow]) -> None:
         host = self.hosts[name]
+        if tasks == host.tasks:
+            return
         before, after = {row[0] for row in host.tasks}, {row[0] for row in tasks}
         self._count_running(host.tasks, tasks)
         for ref in before - after:
@@ -349,10 +351,13 @@
 
     # Room.
 
-    def refresh(self) -> None:
-        """Compute again the room of the machines that have changed."""
-        stale, self._stale = self._stale | self._unclear, set()
-        self._unclear = set()
+    def refresh(self, names: Collection[str] | None = None) -> None:
+        """Compute again the room of the machines that have changed, of some or of all."""
+        stale = self._stale | self._unclear
+        if names is not None:
+            stale.intersection_update(names)
+        self._stale -= stale
+        self._unclear -= stale
         for name in stale:
             room = self._room(name)
             if room is None:
--- a/src/ramptide/http/server.py
+++ b/src/ramptide/http/server.py
@@ -22,6 +22,9 @@
 MAX_ACCEPTS_PER_EVENT = 64
 #: Idle connections are looked for this many times per idle timeout; half a request may take one such period.
 SWEEPS_PER_IDLE_TIMEOUT = 6
+#: While more than this part of the connections is in use, each is closed after its answer: more clients than
+#: connections take turns then, and what is left free is there for those that come.
+CROWDED_PART = 0.75
 
 
 class Exchange:
@@ -123,8 +126,9 @@
         self._mark_used()
         if request.method == "HEAD":
             body = b""
-        data = encode_response(status, body, content_type, headers, request.keep_alive)
-        if not request.keep_alive:
+        keep_alive = request.keep_alive and not self.server.crowded
+        data = encode_response(status, body, content_type, headers, keep_alive)
+        if not keep_alive:
             self._send_last(data)
         else:
             self.write(data)
@@ -181,6 +185,11 @@
         loop.watch(self.sock, selectors.EVENT_READ, self._accept)
         self._close_idle()
 
+    @property
+    def crowded(self) -> bool:
+        """Whether so many connections are open that none is kept for later requests."""
+        return len(self.connections) > self.max_connections * CROWDED_PART
+
     def _accept(self, mask: int) -> None:
         for _ in range(MAX_ACCEPTS_PER_EVENT):
             try:
--- a/src/ramptide/job_scheduler.py
+++ b/src/ramptide/job_scheduler.py
@@ -19,7 +19,7 @@
 EXCLUDED_AFTER_FAILURE = timedelta(seconds=60)
 #: A job stays away so long from a machine that refused a task of it, as the refusal may pass at once.
 EXCLUDED_AFTER_REFUSAL = timedelta(milliseconds=300)
-PHASE_BY_NAME = {phase.value: phase for phase in Phase}
+PHASE_BY_NAME = {phase.label: phase for phase in Phase}
 
 
 class JobScheduler:
@@ -315,7 +315,7 @@
         entries = self.attempts.get(host)
         if entries is None:
             return None
-        return [(a.run.ref, a.task, a.number, a.desired.value, a.grace.total_seconds()) for a in entries.values()]
+        return [(a.run.ref, a.task, a.number, a.desired.label, a.grace.total_seconds()) for a in entries.values()]
 
     def usage(self) -> dict[str, Amounts]:
         """Return what each team's attempts hold: whatever may possibly be on a machine counts."""
--- a/src/ramptide/job_state.py
+++ b/src/ramptide/job_state.py
@@ -98,6 +98,11 @@
             return wall - self.job.submitted
         return now - (self.started_at or self.since)
 
+    def note_wait(self, now: timedelta, waits: bool, without_room: bool) -> None:
+        """Note since when it waits, and since when tasks of it find no room though its team's limit lets them run."""
+        self.waiting_since = (self.waiting_since or now) if waits else None
+        self.without_room_since = (self.without_room_since or now) if without_room else None
+
     def next_task(self) -> int | None:
         """Return the next task that waits; it stays next until it is placed."""
         while self.retry_tasks:
--- a/src/ramptide/machine_status.py
+++ b/src/ramptide/machine_status.py
@@ -1,14 +1,14 @@
 """The state of a machine as its owner tells the other controllers."""
 
 from datetime import timedelta
-from typing import Annotated, cast
+from typing import Annotated
 
 import msgspec
 
 from ramptide import wire
 from ramptide.failure_history import FAILED_JOBS_KEPT
 from ramptide.owned_machine import OwnedMachine
-from ramptide.task_state import PhaseName, TaskRow
+from ramptide.task_state import TaskRow
 
 
 class MachineStatus(msgspec.Struct, array_like=True, frozen=True):
@@ -46,6 +46,6 @@
         unreachable=None if machine.unreachable_since is None else (now - machine.unreachable_since).total_seconds(),
         worker_waiting=machine.has_current_token and machine.last_answer is not None and machine.runs_only_services(),
         images=list(machine.images),
-        tasks=[(e.ref, e.task, e.attempt, cast(PhaseName, e.phase.value), e.cause) for e in machine.entries.values()],
+        tasks=[(e.ref, e.task, e.attempt, e.phase.label, e.cause) for e in machine.entries.values()],
         address=machine.address,
     )
--- a/src/ramptide/report_intake.py
+++ b/src/ramptide/report_intake.py
@@ -142,7 +142,7 @@
         if phase not in REPORTED:
             phase = Phase.RUNNING
         if entry.phase is not phase:
-            log.debug("%s/%d try %d on %s: %s", entry.ref, entry.task, entry.attempt, machine.host, phase.value)
+            log.debug("%s/%d try %d on %s: %s", entry.ref, entry.task, entry.attempt, machine.host, phase.label)
         if phase is Phase.ENDED and entry.phase is not Phase.ENDED:
             record_outcome(machine, entry.ref, piece.cause)
         entry.phase = phase
--- a/src/ramptide/service.py
+++ b/src/ramptide/service.py
@@ -21,6 +21,8 @@
 PEER_IDLE_TIMEOUT = timedelta(seconds=60)
 #: File descriptors for standard streams, listeners, the selector and the like.
 RESERVED_FILE_DESCRIPTORS = 24
+#: Where neither the settings nor the operating system names a limit.
+DEFAULT_FILE_LIMIT = 65_536
 MIN_CONNECTIONS = 8
 BASE_OUTBOUND_CONNECTIONS = 80
 OUTBOUND_CONNECTIONS_PER_NODE = 4
@@ -80,10 +82,9 @@
 
     @classmethod
     def for_cluster(cls, cluster: wire.Cluster) -> "_ConnectionLimits":
-        file_limit = cluster.quota.fd_limit
         _, hard_limit = resource.getrlimit(resource.RLIMIT_NOFILE)
-        if hard_limit != resource.RLIM_INFINITY:
-            file_limit = min(file_limit, hard_limit)
+        limits = [cluster.quota.fd_limit, hard_limit if hard_limit != resource.RLIM_INFINITY else None]
+        file_limit = min((limit for limit in limits if limit is not None), default=DEFAULT_FILE_LIMIT)
         total = max(file_limit - RESERVED_FILE_DESCRIPTORS, MIN_CONNECTIONS)
         share = total // MIN_CONNECTION_SHARES
         outbound = min(BASE_OUTBOUND_CONNECTIONS + OUTBOUND_CONNECTIONS_PER_NODE * cluster.nodes, share)
--- a/src/ramptide/starts.py
+++ b/src/ramptide/starts.py
@@ -112,12 +112,14 @@
         ]
         if not works:
             return
-        c.floor.refresh()
+        ours_only = not c.membership.leading
+        c.floor.refresh(c.part.machines if ours_only and c.part is not None else None)
         least = min(work.job.run.cores for work in works)
-        rooms = [room for room in self.rooms(not c.membership.leading) if room.cores + ROUNDING >= least]
+        rooms = [room for room in self.rooms(ours_only) if room.cores + ROUNDING >= least]
         wall = c.context.wall()
-        works.sort(key=lambda work: self._urgency(work.job, work.idle_for(now, wall), wall))
         using = home.usage_with_transfers()
+        works = self._that_may_fit(works, rooms, using, now)
+        works.sort(key=lambda work: self._urgency(work.job, work.idle_for(now, wall), wall))
         hopeless: set[tuple[object, ...]] = set()
         for work in works:
             reach = self._reach(work, now, wall)
@@ -128,8 +130,26 @@
                 left = self._place_work(home, work, rooms, using, reach, most, now)
                 if left and not work.excluded_until and not work.job.run.one_zone and not work.job.run.spread:
                     hopeless.add(key)
-            work.waiting_since = (work.waiting_since or now) if work.startable else None
-            work.without_room_since = (work.without_room_since or now) if left else None
+            work.note_wait(now, work.startable > 0, left)
+
+    def _that_may_fit(
+        self, works: list[JobState], rooms: list[Room], using: dict[str, Amounts], now: timedelta
+    ) -> list[JobState]:
+        """Return the jobs of which a task is no larger than all rooms, and note of the others that they wait.
+
+        On a full fleet that spares the order, and the walk of the rooms, for all but a few jobs.
+        """
+        cores = max((room.cores for room in rooms), default=0.0) + ROUNDING
+        ram_gb = max((room.ram_gb for room in rooms), default=0.0) + ROUNDING
+        found = []
+        for work in works:
+            run = work.job.run
+            if rooms and run.cores <= cores and run.ram_gb <= ram_gb:
+                found.append(work)
+            else:
+                most = self._c.grants.get(run.team, NOTHING)
+                work.note_wait(now, True, self.headroom(run, using.get(run.team, NOTHING), most) > 0)
+        return found
 
     def _urgency(self, job: Job, idle: timedelta, wall: datetime) -> tuple[Any, ...]:
         tuning = self._c.tuning
@@ -453,12 +473,12 @@
         return [
             (
                 w.job.ref,
-                w.startable,
+                startable,
                 (now - w.waiting_since).total_seconds() if w.waiting_since is not None else 0.0,
                 sorted(w.avoids),
             )
             for w in home.with_pending_tasks.values()
-            if w.retry_at <= now and w.startable
+            if w.retry_at <= now and (startable := w.startable)
         ]
 
     def asking(self, home: JobScheduler) -> dict[str, Amounts]:
@@ -466,8 +486,8 @@
         asking: dict[str, Amounts] = {}
         for work in home.with_pending_tasks.values():
             if work.retry_at <= self._c.context.now:
-                run = work.job.run
-                add_amounts(asking, run.team, run.cores * work.startable, run.cards * work.startable)
+                run, tasks = work.job.run, work.startable
+                add_amounts(asking, run.team, run.cores * tasks, run.cards * tasks)
         return asking
 
     def demands(self) -> list[Demand]:
--- a/src/ramptide/task_state.py
+++ b/src/ramptide/task_state.py
@@ -23,9 +23,12 @@
 class Phase(Enum):
     """Where one attempt of a task is, as its machine's owner knows."""
 
-    # Members are single objects; Enum's own hash, of the name, shows in profiles.
+    # Members are single objects; Enum's own hash, of the name, shows in profiles, as does its `value`.
     __hash__ = object.__hash__
 
+    def __init__(self, label: PhaseName) -> None:
+        self.label: PhaseName = label
+
     QUEUED = "queued"
     SENT = "sent"
     FETCHING = wire.FETCHING
@@ -38,7 +41,7 @@
 
 #: The attempt holds no room and is certainly not running on the machine.
 FINISHED = frozenset({Phase.ENDED, Phase.REFUSED, Phase.GONE})
-FINISHED_NAMES = frozenset(phase.value for phase in FINISHED)
+FINISHED_NAMES = frozenset(phase.label for phase in FINISHED)
 #: A report of the worker has shown the attempt.
 REPORTED = frozenset({Phase.FETCHING, Phase.RUNNING, Phase.FLUSHING, Phase.ENDED})
 
@@ -46,6 +49,9 @@
 class DesiredState(Enum):
     """What the scheduler of the job asks for."""
 
+    def __init__(self, label: DesiredStateName) -> None:
+        self.label: DesiredStateName = label
+
     RUN = "run"
     STOP = "stop"
     REAP = "reap"
--- a/src/ramptide/wire.py
+++ b/src/ramptide/wire.py
@@ -441,9 +441,14 @@
 
 
 class Quota(Struct):
-    """The limits of a controller's process."""
+    """The limits of a controller's process, as far as the platform names them.
 
-    fd_limit: Annotated[int, Meta(ge=32)]
+    `cpu`: its share of a core. `ram_mb`: the memory past which it is killed.
+    """
+
+    fd_limit: Annotated[int, Meta(ge=32)] | None = None
+    cpu: Positive | None = None
+    ram_mb: Positive | None = None
 
 
 class Cluster(Struct):
@@ -455,7 +460,7 @@
     workers: Workers
     state: StateLimits
     cloud: CloudLimits
-    quota: Quota
+    quota: Quota = field(default_factory=Quota)
 
 
 class Settings(Struct, rename={"listen": "client_listen", "peer_listen": "peer_bind"}):
--- a/tests/world.py
+++ b/tests/world.py
@@ -321,6 +321,9 @@
         self._context: VirtualContext | None = None
         self._starts = 0
         self._frozen_until = timedelta(0)
+        #: What each event costs of a slow processor: what comes meanwhile waits its turn.
+        self.event_cost = timedelta(0)
+        self._busy_until = timedelta(0)
 
     def freeze(self, seconds: float) -> None:
         """The process stands still while its clocks run on; timers and all that came in are due at once then."""
@@ -328,10 +331,20 @@
 
     def awake(self, context: VirtualContext, action: Callable[[], None]) -> None:
         """Does it now, or when the process goes on, if that still lives."""
-        if self.world.now >= self._frozen_until:
-            action()
-        else:
+        if self.world.now < self._frozen_until:
             self.world.after(self._frozen_until - self.world.now, lambda: context.alive and self.awake(context, action))
+            return
+        start = max(self.world.now, self._busy_until)
+        self._busy_until = start + self.event_cost
+        if start > self.world.now:
+            self.world.after(start - self.world.now, lambda: context.alive and action())
+        else:
+            action()
+
+    @property
+    def backlog(self) -> timedelta:
+        """How long an event that comes now waits for its turn."""
+        return max(self._busy_until - self.world.now, timedelta(0))
 
     def ask(self, call: Callable[[Controller], None], dead: Callable[[], None] = lambda: None) -> None:
         """A request that reaches the process."""
@@ -369,7 +382,7 @@
         if self._context is not None:
             self._context.alive = False
         self.controller = None
-        self._frozen_until = timedelta(0)
+        self._frozen_until = self._busy_until = timedelta(0)
 
 
 class StateService:
