--- a/src/ramptide/app.py
+++ b/src/ramptide/app.py
@@ -475,6 +475,7 @@
         self.peers.new_view()
         self.leader.new_view()
         self.starter.new_view()
+        silent = set(self.floor.silent())
         self.floor.new_view()
         mine = view.members.get(self.member) == self.membership.incarnation
         self.syncing.new_view(view if mine else None)
@@ -496,11 +497,16 @@
         for job in self.jobs.values():
             self._assign(job)
         self.reports.new_view()
-        self._announce_token(self.part)
+        self._announce_token(self.part, silent)
 
-    def _announce_token(self, part: Shard) -> None:
-        """Tell the workers of our machines the token of the view, as far as we know where they are."""
-        unsettled = (host for host, machine in part.machines.items() if not machine.settled)
+    def _announce_token(self, part: Shard, silent: set[str]) -> None:
+        """Tell the workers of our machines the token of the view, as far as we know where they are.
+
+        Those that were silent before come last: each may take the whole time limit, and with hundreds of them the
+        others would wait for as many seconds.
+        """
+        unsettled = [host for host, machine in part.machines.items() if not machine.settled]
+        unsettled.sort(key=lambda host: host in silent)
         addresses = {host: self.addresses[host] for host in unsettled if host in self.addresses}
         self.announcer.announce(part.view, addresses)
 
--- a/src/ramptide/delta.py
+++ b/src/ramptide/delta.py
@@ -21,15 +21,27 @@
         self._last_change.pop(key, None)
         self._last_change[key] = seq
 
-    def since(self, base: int) -> list[Key]:
-        """Return the keys that changed after `base`, latest first; with those of items removed and not pruned."""
+    def since(self, base: int, up_to: int | None = None) -> list[Key]:
+        """Return the keys that changed after `base`, latest first; with those of items removed and not pruned.
+
+        `up_to`: without those whose last change came after this number.
+        """
         changed = []
         for key in reversed(self._last_change):
-            if self._last_change[key] <= base:
+            number = self._last_change[key]
+            if number <= base:
                 break
-            changed.append(key)
+            if up_to is None or number <= up_to:
+                changed.append(key)
         return changed
 
+    def split_after(self, base: int, limit: int) -> int | None:
+        """Return the number up to which about `limit` keys changed after `base`; None when no more than that did."""
+        changed = self.since(base)
+        if len(changed) <= limit:
+            return None
+        return self._last_change[changed[-limit]]
+
     def prune(self, base: int, alive: Container[Key]) -> None:
         """Forget removed items whose removal every receiver has acknowledged, `base` being the lowest number."""
         self._last_change = {key: seq for key, seq in self._last_change.items() if seq > base or key in alive}
--- a/src/ramptide/job_scheduler.py
+++ b/src/ramptide/job_scheduler.py
@@ -11,7 +11,7 @@
 from ramptide.job_state import JobState
 from ramptide.jobs import Job
 from ramptide.records import Progress
-from ramptide.task_state import FINISHED, NO_TIME, DesiredState, DesiredTaskRow, Phase, TaskKey, TaskRow
+from ramptide.task_state import FINISHED, NO_TIME, PHASE_BY_NAME, DesiredState, DesiredTaskRow, Phase, TaskKey, TaskRow
 
 log = logging.getLogger(__name__)
 
@@ -19,7 +19,6 @@
 EXCLUDED_AFTER_FAILURE = timedelta(seconds=60)
 #: A job stays away so long from a machine that refused a task of it, as the refusal may pass at once.
 EXCLUDED_AFTER_REFUSAL = timedelta(milliseconds=300)
-PHASE_BY_NAME = {phase.label: phase for phase in Phase}
 
 
 class JobScheduler:
--- a/src/ramptide/leader.py
+++ b/src/ramptide/leader.py
@@ -22,7 +22,8 @@
 log = logging.getLogger(__name__)
 
 ZERO = timedelta(0)
-RETURNED_KEPT = 10_000
+#: Names are not given twice, and what shows a machine later than this after its return is no late message any more.
+RETURNED_KEPT = timedelta(hours=1)
 #: Added to twice the lag of the cloud's list, for the answer's own time on its way.
 LIST_MARGIN = timedelta(seconds=2)
 
@@ -40,7 +41,8 @@
         self._answered: dict[str, list[str]] = {}
         self._refused: set[str] = set()
         self._returning: set[str] = set()
-        self._returned: dict[str, None] = {}
+        #: When machines were returned, the latest last.
+        self._returned: dict[str, timedelta] = {}
         self._gone: set[str] = set()
         self._list_at: timedelta | None = None
         self._listing = False
@@ -277,13 +279,17 @@
             if gone:
                 log.info("returned %s", ", ".join(hosts))
                 self._gone.update(host for host in hosts if host in self._c.machines)
-                self._returned |= dict.fromkeys(hosts)
-                while len(self._returned) > RETURNED_KEPT:
-                    del self._returned[next(iter(self._returned))]
+                self._note_returned(hosts)
                 self._c.counters["returns"] += len(hosts)
 
         self._c.cloud.return_machines(hosts, done)
 
+    def _note_returned(self, hosts: list[str]) -> None:
+        now = self._c.context.now
+        self._returned |= dict.fromkeys(hosts, now)
+        while now - self._returned[oldest := next(iter(self._returned))] > RETURNED_KEPT:
+            del self._returned[oldest]
+
     # The list.
 
     def _read_list(self) -> None:
--- a/src/ramptide/peers.py
+++ b/src/ramptide/peers.py
@@ -28,7 +28,7 @@
 GAP = timedelta(milliseconds=100)
 ZERO = timedelta(0)
 #: Raised when messages change so that another version would misread them.
-WIRE = 4
+WIRE = 5
 
 
 #: What a team's tasks take, which may be off zero by a rounding; and what it may take, which may have no end.
@@ -56,6 +56,8 @@
     epoch: Count = 0
     wire: int = 0
     base: Count = 0
+    #: More machines have changed than one message takes. Only the changes up to `seq` are told here, and nothing else.
+    more: bool = False
     latched: bool = False
     acks: dict[str, Count] = {}
     wishes: dict[str, list[DesiredTaskRow] | None] = {}
@@ -235,7 +237,9 @@
             return None
         self.newest = max(self.newest, sync.view)
         if sync.view == view and view and self._belongs(sync) and peer.inbox.takes(sync.base, sync.seq):
-            peer.said, peer.heard = sync, self._context.now
+            peer.heard = self._context.now
+            if not sync.more:
+                peer.said = sync
             self._receive(sync, peer)
         return sync, peer
 
--- a/src/ramptide/report_intake.py
+++ b/src/ramptide/report_intake.py
@@ -7,7 +7,7 @@
 from ramptide.failure_history import record_outcome
 from ramptide.machine_table import MachineTable
 from ramptide.owned_machine import OwnedMachine
-from ramptide.task_state import FINISHED, REPORTED, DesiredState, Phase, TaskEntry, TaskKey
+from ramptide.task_state import FINISHED, PHASE_BY_NAME, REPORTED, DesiredState, Phase, TaskEntry, TaskKey
 
 log = logging.getLogger(__name__)
 
@@ -135,10 +135,7 @@
         self._mark_changed(machine.host)
 
     def _update_entry(self, machine: OwnedMachine, entry: TaskEntry, piece: wire.Piece) -> None:
-        try:
-            phase = Phase(piece.status)
-        except ValueError:
-            phase = Phase.RUNNING
+        phase = PHASE_BY_NAME.get(piece.status, Phase.RUNNING)
         if phase not in REPORTED:
             phase = Phase.RUNNING
         if entry.phase is not phase:
--- a/src/ramptide/settings.py
+++ b/src/ramptide/settings.py
@@ -86,7 +86,7 @@
     "gather": Bound(0, 3600, "seconds between two machines that are emptied because they run few services"),
     "thin_share": Bound(0, 1, "part of a machine up to which its services are few, and may be moved to another"),
     "started": Bound(0, 3600, "seconds that a service is left where it was started, however few run there"),
-    "pool_size": Bound(0, 1000, "idle machines kept ready at least"),
+    "pool_size": Bound(0, 100_000, "idle machines kept ready at least"),
     "service_share": Bound(0, 1, "part of a machine that runs services which arrays leave free for more of them"),
     "share_wait": Bound(0, 3600, "seconds without a start until a tenth of an array may use room kept for services"),
     "pool_share": Bound(0, 1, "idle machines kept ready for each machine that is up"),
--- a/src/ramptide/starts.py
+++ b/src/ramptide/starts.py
@@ -36,7 +36,8 @@
 MANY = 10**9
 PREEMPT_EVERY = timedelta(milliseconds=500)
 EVICTION_KEPT = timedelta(seconds=5)
-EVICTIONS_AT_ONCE = 40
+#: Tasks that are told to give way and are not gone yet: so many, or one for so many machines on a large fleet.
+EVICTIONS_AT_ONCE, MACHINES_PER_EVICTION = 40, 50
 #: So many silent machines are returned at once rather than that a new view waits for the end of their leases.
 FEW, FEW_SHARE = 3, 0.05
 #: The last ones may be fewer, as they may be healthy, and are waited for so many report intervals.
@@ -279,7 +280,7 @@
             self.evictions = {key: one for key, one in self.evictions.items() if now - one.at < EVICTION_KEPT}
         if not c.membership.leading or not c.latched or now - self._preempted_at < PREEMPT_EVERY:
             return
-        if len(self.evictions) >= EVICTIONS_AT_ONCE:
+        if not self._may_evict():
             return
         self._preempted_at = now
         claims = [
@@ -302,7 +303,7 @@
         for work in sorted(claims, key=lambda one: self._urgency(one.job, one.idle_for(now, wall), wall)):
             run = work.job.run
             key = (needs(run), run.rank, run.team)
-            if key in hopeless or len(self.evictions) >= EVICTIONS_AT_ONCE:
+            if key in hopeless or not self._may_evict():
                 continue
             promised = sum(one.claimant == run.ref for one in self.evictions.values())
             left = min(
@@ -312,6 +313,10 @@
             if left > 0 and not self._claim(work, left, rooms, tasks, using, now):
                 hopeless.add(key)
 
+    def _may_evict(self) -> bool:
+        """Tell whether another task may be told to give way now."""
+        return len(self.evictions) < max(EVICTIONS_AT_ONCE, len(self._c.machines) // MACHINES_PER_EVICTION)
+
     def _claim(
         self,
         work: JobState,
@@ -342,7 +347,7 @@
             if found is not None:
                 heap.append((found[0], host))
         heapq.heapify(heap)
-        while left > 0 and heap and len(self.evictions) < EVICTIONS_AT_ONCE:
+        while left > 0 and heap and self._may_evict():
             _, host = heapq.heappop(heap)
             # What went before may have changed who may be stopped, so it is looked at again.
             found = victims(run, rooms[host], tasks[host], claimable, work.zones)
--- a/src/ramptide/syncing.py
+++ b/src/ramptide/syncing.py
@@ -30,6 +30,10 @@
 #: The split of the team limits is worked out anew so often at most.
 DIVIDE_EVERY = timedelta(milliseconds=150)
 PRUNE_EVERY = 1000
+#: Machines that one message tells of, and that share one number. The whole table of thousands of machines would take
+#: longer to encode, send and read than a message may take, and would be sent again and again.
+MACHINES_PER_MESSAGE = 300
+MACHINES_PER_NUMBER = 50
 
 
 class Syncing:
@@ -109,23 +113,29 @@
         part.apply_desired(sync.member, sync.seq, sync.wishes, self.takes_tasks)
         if sync.wishes:
             c.peers.hurry(peer, AT_ONCE)
-        if sync.member == view.leader:
-            c.floor.keep_pool(sync.pool)
-            if sync.grants is not None:
-                # Both at once: the new grants leave out what the leader took over.
-                c.grants, self.grants_ack = sync.grants, sync.seq
-                for ref in sync.took:
-                    home.transfer_confirmed(ref)
-            for ref, task, number, grace in sync.evict:
-                c.starter.evict(ref, task, number, timedelta(seconds=grace))
+        if sync.member == view.leader and not sync.more:
+            self._follow_leader(sync, home)
         for name, row in sync.status.items():
             if c.owner(name) == sync.member:
                 c.read_row(name, row)
+        home.needs_round = True
+        if sync.more:
+            return
         self.acknowledge(home, sync.member, sync.acks.get(c.member, 0))
         if self.allowances is not None and sync.grants_ack:
             self.allowances.acknowledged(sync.member, sync.grants_ack)
         c.floor.recall(sync.unproven, now)
-        home.needs_round = True
+
+    def _follow_leader(self, sync: Sync, home: JobScheduler) -> None:
+        c = self._c
+        c.floor.keep_pool(sync.pool)
+        if sync.grants is not None:
+            # Both at once: the new grants leave out what the leader took over.
+            c.grants, self.grants_ack = sync.grants, sync.seq
+            for ref in sync.took:
+                home.transfer_confirmed(ref)
+        for ref, task, number, grace in sync.evict:
+            c.starter.evict(ref, task, number, timedelta(seconds=grace))
 
     def acknowledge(self, home: JobScheduler, owner: str, ack: int) -> None:
         """Note that the owner has processed our messages up to `ack`, and that its rows are as of then."""
@@ -162,12 +172,12 @@
         home.seq += 1
         ours = self._mark_desired(home)
         part.apply_desired(c.member, home.seq, ours, self.takes_tasks)
-        for host in ours:
-            # The next message says that we have processed our own wishes, so it has to show what came of them: who
-            # takes over one of our jobs relies on that.
-            self._rows.mark(host, home.seq)
-        for host in changed:
+        # The next message says that we have processed our own wishes, so it has to show what came of them: who takes
+        # over one of our jobs relies on that.
+        for count, host in enumerate([*ours, *changed], 1):
             self._rows.mark(host, home.seq)
+            if count % MACHINES_PER_NUMBER == 0:
+                home.seq += 1
         self._hurry_for(part, changed)
         if home.seq % PRUNE_EVERY == 0:
             self._prune(part)
@@ -246,25 +256,31 @@
             cancelled=[ref for _, ref in self._cancelled],
         )
         rows: dict[str, MachineStatus | None] = {}
+        unproven = c.floor.all_unproven(now)
         for peer in due:
             # Those outside the view hear of it too, so that they stop to act under an older one.
             inside = peer.name in view.members
             first = peer.name == view.leader
+            split = self._rows.split_after(peer.taken, MACHINES_PER_MESSAGE) if inside else None
             status = {}
-            for host in self._rows.since(peer.taken) if inside else ():
+            for host in self._rows.since(peer.taken, split) if inside else ():
                 if host not in rows:
                     rows[host] = part.status(host, now)
                 status[host] = rows[host]
+            wishes = {host: home.desired_tasks(host) for host in self._wishes[peer.name].since(peer.taken, split)}
+            if split is not None:
+                c.peers.send(peer, _part_of(base, peer.taken, split, status, wishes), AT_ONCE)
+                continue
             sync = msgspec.structs.replace(
                 base,
                 base=peer.taken,
                 status=status,
-                wishes={host: home.desired_tasks(host) for host in self._wishes[peer.name].since(peer.taken)},
+                wishes=wishes,
                 grants=self._granted.get(peer.name),
                 asking=c.starter.asking(home) if first else {},
                 waiting=c.starter.waiting_rows(home, now) if first else [],
                 strangers=part.unrecorded_machines() if first else {},
-                unproven=c.floor.all_unproven(now),
+                unproven=unproven,
             )
             calm = c.latched and not c.mirror.lacking and not first
             c.peers.send(peer, sync, CALM if calm else EVERY)
@@ -322,3 +338,30 @@
         for said in c.peers.messages():
             found |= said.strangers
         return {host: kind for host, kind in found.items() if host not in c.machines}
+
+
+def _part_of(
+    whole: Sync,
+    base: int,
+    up_to: int,
+    status: dict[str, MachineStatus | None],
+    wishes: dict[str, list[DesiredTaskRow] | None],
+) -> Sync:
+    """Return a message with the changes up to a number, after which more follow.
+
+    It has nothing that says how far we are in all else: what it lacks of our machines is still to be told.
+    """
+    return Sync(
+        member=whole.member,
+        inc=whole.inc,
+        view=whole.view,
+        seq=up_to,
+        lacks=whole.lacks,
+        epoch=whole.epoch,
+        wire=whole.wire,
+        base=base,
+        more=True,
+        status=status,
+        wishes=wishes,
+        cancelled=whole.cancelled,
+    )
--- a/src/ramptide/task_state.py
+++ b/src/ramptide/task_state.py
@@ -39,6 +39,8 @@
     GONE = "gone"
 
 
+PHASE_BY_NAME: dict[str, Phase] = {phase.label: phase for phase in Phase}
+
 #: The attempt holds no room and is certainly not running on the machine.
 FINISHED = frozenset({Phase.ENDED, Phase.REFUSED, Phase.GONE})
 FINISHED_NAMES = frozenset(phase.label for phase in FINISHED)
--- /dev/null
+++ b/tests/test_large_fleet.py
@@ -0,0 +1,201 @@
+"""About 4,000 machines: work, messages and bytes are counted, not seconds, and compared with a fleet of 500."""
+
+import json
+import sys
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from world import MS, S, Task, Worker, World, leader, owner
+
+from ramptide import wire
+from ramptide.app import Controller
+from ramptide.records import JobRecord, Progress, to_value
+
+SMALL, LARGE = 500, 4000
+RENTED_TOGETHER = 50
+TASKS_ON_EACH = 8
+#: Far below what one message may have, and what a controller reads in a moment.
+LONGEST_MESSAGE_BYTES = 192 * 1024
+
+
+def fleet_world(machines: int, members: int = 3) -> World:
+    """Controllers that all start at once, and find machines that run the tasks of one job each for fifty of them."""
+    world = World(5, capacity=machines, members=members)
+    world.limits |= {"rps": 300.0, "write_rps": 60.0, "value_kb": 4.0}
+    for first in range(0, machines, RENTED_TOGETHER):
+        ref = f"j-{first}"
+        world.submit(ref, pieces=RENTED_TOGETHER * TASKS_ON_EACH, cores=0.5, ramGb=1.0, guessS=5000.0)
+        hosts = [f"vm-{number:06d}" for number in range(first, min(first + RENTED_TOGETHER, machines))]
+        yard = "ab"[first // RENTED_TOGETHER % 2]
+        record = {"flavor": "m", "yard": yard, "spot": False, "at": 0.0, "count": len(hosts), "born": 0}
+        put(world, f"live/rental/r-{first}", record | {"hosts": {host: [True, None] for host in hosts}})
+        run = wire.decode_run(json.dumps(world.jobs[ref]).encode())
+        home = world.names[first // RENTED_TOGETHER % members]
+        put(world, f"live/job/{ref}", to_value(JobRecord(run, home, 0, 0.0, Progress().encode())))
+        for number, host in enumerate(hosts):
+            add_machine(world, host, yard, _tasks(ref, number))
+    for node in world.nodes.values():
+        node.start()
+    return world
+
+
+def _tasks(ref: str, machine: int) -> list[Task]:
+    first = machine * TASKS_ON_EACH
+    return [Task(ref, number, 1, "running") for number in range(first, first + TASKS_ON_EACH)]
+
+
+def put(world: World, key: str, value: dict[str, Any]) -> None:
+    world.state.epoch += 1
+    world.state.data[key] = (value, world.state.epoch, None)
+
+
+def add_machine(world: World, host: str, yard: str, tasks: list[Task]) -> None:
+    worker = world.workers[host] = Worker(world, host, yard, False)
+    worker.tasks = {(task.ref, task.number, task.attempt): task for task in tasks}
+    row = {"ref": host, "rig": "m", "yard": yard, "loaners": False, "status": "running"}
+    world.cloud.listed[host] = row
+    world.after(world.rng.random() * S, worker.boot)
+
+
+def controllers(world: World) -> list[Controller]:
+    return [node.controller for node in world.nodes.values() if node.controller is not None]
+
+
+def settled(world: World) -> bool:
+    return all(c.latched for c in controllers(world))
+
+
+def python_calls(action: Callable[[], None]) -> int:
+    """How many Python functions are called meanwhile."""
+    calls = Counter[str]()
+
+    def count(frame: object, event: str, argument: object) -> None:
+        calls[event] += 1
+
+    assert sys.getprofile() is None
+
+    sys.setprofile(count)
+    try:
+        action()
+    finally:
+        sys.setprofile(None)
+    return calls["call"]
+
+
+@pytest.fixture(scope="module")
+def large() -> World:
+    """A fleet of 4,000 that has just settled after a start of everything."""
+    world = fleet_world(LARGE)
+    assert world.run_until(lambda: settled(world), 20)
+    return world
+
+
+@pytest.fixture(scope="module")
+def small() -> World:
+    world = fleet_world(SMALL)
+    assert world.run_until(lambda: settled(world), 20)
+    return world
+
+
+def test_all_controllers_start_with_4000_machines_and_know_every_task(large: World) -> None:
+    for c in controllers(large):
+        assert len(c.machines) == LARGE and c.part is not None
+        assert sum(c.floor.running.values()) == LARGE * TASKS_ON_EACH
+    assert large.rules.broken == []
+    assert max(len(json.dumps(value)) for value, _, _ in large.state.data.values()) < 4096
+
+
+def work_of_a_report(world: World, changed: bool) -> int:
+    """What it takes to handle a report and the round after it, on a controller that does not lead."""
+    world.run(1.0)
+    c = next(c for c in controllers(world) if not c.membership.leading)
+    assert c.part is not None and c.home is not None
+    worker = next(world.workers[host] for host in c.part.machines if world.workers[host].baton == c.part.view)
+    task = next(iter(worker.tasks.values()))
+    if changed:
+        task.status = "flushing"
+    worker.tally += 1
+    body = worker._state(worker.tenure)
+    home, part, now = c.home, c.part, c.context.now
+    c._round(home, part, now, False)
+    answers: list[int] = []
+
+    def handle() -> None:
+        c.reports.beat(body, lambda status, _: answers.append(status))
+        c._round(home, part, now, False)
+
+    calls = python_calls(handle)
+    assert answers == [200]
+    task.status = "running"
+    return calls
+
+
+@pytest.mark.parametrize("changed", [False, True])
+def test_the_work_of_a_report_does_not_grow_with_the_fleet(large: World, small: World, changed: bool) -> None:
+    assert work_of_a_report(large, changed) < 1.5 * work_of_a_report(small, changed)
+
+
+def work_of_a_start(world: World, ref: str) -> int:
+    """What the leader's round takes that starts one task, beside jobs that find no room."""
+    c = next(c for c in controllers(world) if c.membership.leading)
+    home, part = c.home, c.part
+    assert home is not None and part is not None
+    world.submit(ref, pieces=1, cores=2.0, guessS=5000.0)
+    assert world.accepted(ref, leader(world))
+    assert world.run_until(lambda: any(task.ref == ref for _, task in world.rules.on_machines()), 10)
+    return python_calls(lambda: c.starter.place(home, c.context.now))
+
+
+def test_the_work_of_a_placement_round_with_nothing_to_place_does_not_grow(large: World, small: World) -> None:
+    assert work_of_a_start(large, "j-900001") < 1.5 * work_of_a_start(small, "j-900001") + 50
+
+
+def test_a_controller_that_was_not_heard_tells_its_whole_table_in_parts(large: World) -> None:
+    """Two that do not lead cannot reach each other while each machine of theirs changes."""
+    world = large
+    one, other = [c for c in controllers(world) if not c.membership.leading][:2]
+    world.cut(one.member, other.member)
+    world.run(1)
+    assert one.part is not None and other.part is not None
+    for host in one.part.machines:
+        one.part.mark_changed(host)
+    world.run(1)
+    world.longest_message = 0
+    world.heal()
+    told = len(one.part.machines)
+    base = other.peers.all[one.member].inbox.seq
+    world.run(2)
+    assert other.peers.all[one.member].inbox.seq > base and one.peers.all[other.member].taken > base
+    assert told > LARGE / 4 and world.longest_message < LONGEST_MESSAGE_BYTES
+    shown = {host: other.floor.hosts[host].tasks for host in one.part.machines}
+    assert all(len(tasks) == TASKS_ON_EACH for tasks in shown.values())
+
+
+def test_a_tenth_of_the_fleet_silent_at_once_and_a_leader_that_ends(large: World) -> None:
+    """The announcements to the machines that hang do not hold up those to the others."""
+    world = large
+    hung = [worker for number, worker in enumerate(world.workers.values()) if number % 10 == 0]
+    for worker in hung:
+        worker.hang(60)
+    world.run(4)
+    world.longest_message = 0
+    gone = leader(world)
+    world.nodes[gone].freeze(60)
+    left = [c for c in controllers(world) if c.member != gone]
+    assert world.run_until(lambda: all(gone not in (c.view.members if c.view else {}) for c in left), 8)
+
+    def told() -> bool:
+        number = left[0].view.number if left[0].view is not None else 0
+        return sum(worker.baton == number for worker in healthy) > 0.99 * len(healthy)
+
+    healthy = [worker for worker in world.workers.values() if worker not in hung]
+    begun = world.now
+    assert world.run_until(told, 9)
+    assert world.now - begun < 1.5 * S, "a worker whose report the lost controller has waits 4 s before it asks another", "a worker whose report the lost controller has waits 4 s before it asks another"
+    assert world.run_until(lambda: all(c.latched for c in left), 14), "the lease is 8 s"
+    assert world.longest_message < LONGEST_MESSAGE_BYTES
+    assert world.rules.broken == []
+    alive = sum(worker.alive for worker in healthy)
+    assert alive == len(healthy), "no machine that reports is given up"
--- a/tests/world.py
+++ b/tests/world.py
@@ -67,6 +67,7 @@
         self.slow_links: dict[frozenset[str], SlowLink] = {}
         self.calls: Counter[str] = Counter()
         self.sent_bytes: Counter[str] = Counter()
+        self.longest_message = 0
         self.cancel_s = 20.0
         self.limits = {"rps": 300.0, "write_rps": 150.0, "value_kb": 16.0, "txn_ops": 12}
         self.teams = teams or {"team": 0.0}
@@ -288,6 +289,7 @@
             return
         self.world.calls[method + " " + urlsplit(target).path.split("/")[1]] += 1
         self.world.sent_bytes[address] += len(body)
+        self.world.longest_message = max(self.world.longest_message, len(body))
 
         def request(answer: Answer) -> None:
             if address == STATE:
