A controller that falls behind serves leases first; processor time by kind of work

- The loop handles reports, peers and answers of the services first, then timers, then a few users' requests a turn, those that waited longest first.
- The clock is read for each event.
One late in a long turn took its time from the turn's beginning, so that a proof of membership looked younger than it was.
- Metrics and status tell processor time by kind of work, delays of timers and memory.
`quota` may be left out; a broken field of it is refused in one line.

--- a/src/ramptide/admin.py
+++ b/src/ramptide/admin.py
@@ -9,6 +9,7 @@
 from ramptide.context import JSON
 from ramptide.desk import error
 from ramptide.jobs import Job
+from ramptide.process_statistics import ProcessStatistics
 from ramptide.records import SETTINGS_KEY, MachineRecord
 from ramptide.settings import BOUNDS, SettingsError, Tuning
 from ramptide.store import Transaction, TransactionResult
@@ -27,8 +28,9 @@
 class Admin:
     """Answers operators about one controller, and applies their changes of the settings."""
 
-    def __init__(self, controller: "Controller") -> None:
+    def __init__(self, controller: "Controller", process: ProcessStatistics | None = None) -> None:
         self._c = controller
+        self._process = process
 
     def handle(self, method: str, path: str, body: bytes, answer: Answer) -> bool:
         """Answer a call to this API; return False when the path is not part of it."""
@@ -114,9 +116,18 @@
             "silent_machines": c.floor.silent(),
             "failing_jobs": c.floor.failing_jobs(),
             "jobs": {ref: self._job(job) for ref, job in c.jobs.items()},
+            "process": self._process_status(),
         }
         answer(200, wire.encode(status), JSON)
 
+    def _process_status(self) -> dict[str, Any] | None:
+        if self._process is None:
+            return None
+        return {
+            "processor_s": {kind: spent.total_seconds() for kind, spent in self._process.by_kind().items()},
+            "worst_timer_delay_s": self._process.worst_delay(self._c.context.now).total_seconds(),
+        }
+
     def _view(self) -> dict[str, Any] | None:
         view = self._c.view
         if view is None:
@@ -152,17 +163,25 @@
 
     def _metrics(self, body: bytes, answer: Answer) -> None:
         # Imported on the first call: it would double the time that a start takes.
-        from prometheus_client import CONTENT_TYPE_LATEST, CollectorRegistry, generate_latest
+        from prometheus_client import CONTENT_TYPE_LATEST, CollectorRegistry, ProcessCollector, generate_latest
 
         registry = CollectorRegistry()
         registry.register(self)
+        ProcessCollector(namespace="ramptide", registry=registry)
         answer(200, generate_latest(registry), CONTENT_TYPE_LATEST)
 
     def collect(self) -> "Iterator[Metric]":
         """Yield the current metrics; called by the registry."""
         from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
-        from ramptide.metrics import answer_metrics, lease_metrics, membership_metrics, standstill_metrics, team_metrics
+        from ramptide.metrics import (
+            answer_metrics,
+            lease_metrics,
+            membership_metrics,
+            process_metrics,
+            standstill_metrics,
+            team_metrics,
+        )
 
         c = self._c
         gauges = {
@@ -201,3 +220,5 @@
         yield from answer_metrics(c.telemetry)
         yield from lease_metrics(c.telemetry)
         yield from standstill_metrics(c.telemetry.round_clock)
+        if self._process is not None:
+            yield from process_metrics(self._process, c.context.now)
--- a/src/ramptide/http/connection.py
+++ b/src/ramptide/http/connection.py
@@ -17,11 +17,13 @@
         self.sock = sock
         self.output = bytearray()
         self.open = True
+        #: Whether its input may wait for that of other connections.
+        self.deferrable = False
 
     def _watch(self) -> None:
         """Wait for input, and for room to write while output is buffered."""
         events = selectors.EVENT_READ | (selectors.EVENT_WRITE if self.output else 0)
-        self.loop.watch(self.sock, events, self.on_ready)
+        self.loop.watch(self.sock, events, self.on_ready, self.deferrable)
 
     def write(self, data: bytes) -> None:
         """Send data, now as far as the socket takes it and the rest later."""
--- a/src/ramptide/http/server.py
+++ b/src/ramptide/http/server.py
@@ -34,6 +34,11 @@
         self._connection = connection
         self.request = request
 
+    def prefer(self) -> None:
+        """Have later requests on the same connection handled before those of deferrable ones."""
+        if self._connection is not None:
+            self._connection.deferrable = False
+
     def respond(
         self, status: int, body: bytes, content_type: str = "application/json", headers: dict[str, str] | None = None
     ) -> None:
@@ -49,6 +54,7 @@
     def __init__(self, server: "Server", sock: socket.socket) -> None:
         super().__init__(server.loop, sock)
         self.server = server
+        self.deferrable = server.deferrable
         self.parser = Parser(max_body=server.max_body)
         #: Whether a request has been handed to the handler and is not answered yet.
         self.busy = False
@@ -157,6 +163,8 @@
         How long a connection may stay open without a request.
     max_body
         The largest request body in bytes that is accepted.
+    deferrable
+        Whether requests may wait for all other work; those of a connection that is preferred may not.
     """
 
     def __init__(
@@ -167,8 +175,10 @@
         max_connections: int,
         idle_timeout: timedelta,
         max_body: int = MAX_REQUEST_BODY_BYTES,
+        deferrable: bool = False,
     ) -> None:
         self.loop = loop
+        self.deferrable = deferrable
         self.handler = handler
         self.max_connections = max_connections
         self.idle_timeout = idle_timeout
--- a/src/ramptide/loop.py
+++ b/src/ramptide/loop.py
@@ -10,10 +10,15 @@
 import time
 from collections.abc import Callable
 from datetime import UTC, datetime, timedelta
+from typing import NamedTuple
+
+from ramptide.process_statistics import ProcessStatistics, Work
 
 log = logging.getLogger(__name__)
 
 NO_DELAY = timedelta(0)
+#: Deferrable events of one turn; the rest are found ready again in the next one, after what is more urgent.
+DEFERRABLE_PER_TURN = 16
 
 
 class Timer:
@@ -29,20 +34,37 @@
         self.action = None
 
 
+class _Watch(NamedTuple):
+    """What to call for a socket, and whether that may wait for all else."""
+
+    ready: Callable[[int], None]
+    deferrable: bool
+
+
 class Loop:
     """Calls back when a socket is ready or a timer is due, on one thread.
 
+    In each turn deferrable sockets come last, and only a few of them: with more input than can be handled, leases and
+    timers are served in time all the same.
+
     Attributes
     ----------
     now
-        The monotonic time at which the current turn's events were collected.
+        The monotonic time at which the current event began. It is read anew for each: on a slow processor a turn may
+        take seconds, and what its last event renews or starts must rest on no older time.
     """
 
     def __init__(self) -> None:
+        self.statistics = ProcessStatistics()
         self._selector = selectors.DefaultSelector()
         self._timers: list[tuple[timedelta, int, Timer]] = []
         self._order = itertools.count()
         self._running = False
+        #: File descriptors that were ready and not handled, those that have waited longest first.
+        self._put_off: dict[int, None] = {}
+        self._read_clock()
+
+    def _read_clock(self) -> None:
         self.now = timedelta(seconds=time.monotonic())
 
     def wall(self) -> datetime:
@@ -55,12 +77,13 @@
         heapq.heappush(self._timers, (self.now + max(delay, NO_DELAY), next(self._order), timer))
         return timer
 
-    def watch(self, sock: socket.socket, events: int, ready: Callable[[int], None]) -> None:
+    def watch(self, sock: socket.socket, events: int, ready: Callable[[int], None], deferrable: bool = False) -> None:
         """Call `ready` with the event mask; a second call for the same socket replaces the first."""
+        watched = _Watch(ready, deferrable)
         try:
-            self._selector.modify(sock, events, ready)
+            self._selector.modify(sock, events, watched)
         except KeyError:
-            self._selector.register(sock, events, ready)
+            self._selector.register(sock, events, watched)
 
     def unwatch(self, sock: socket.socket) -> None:
         """Stop watching a socket; one that is not watched is ignored."""
@@ -85,18 +108,41 @@
         if self._timers:
             wait_s = max(0.0, (self._timers[0][0] - timedelta(seconds=time.monotonic())).total_seconds())
         ready = self._selector.select(wait_s)
-        self.now = timedelta(seconds=time.monotonic())
+        self._read_clock()
+        deferred: dict[int, Callable[[], None]] = {}
         for key, mask in ready:
-            self._run_guarded(functools.partial(key.data, mask))
-        while self._timers and self._timers[0][0] <= self.now:
-            timer = heapq.heappop(self._timers)[2]
+            call = functools.partial(key.data.ready, mask)
+            if key.data.deferrable:
+                deferred[key.fd] = call
+            else:
+                self._run_guarded(Work.SOCKETS, call)
+        self._run_due_timers()
+        self._run_deferred(deferred)
+
+    def _run_deferred(self, ready: dict[int, Callable[[], None]]) -> None:
+        """Run some of the calls, by file descriptor: first those that have waited since earlier turns."""
+        waiting = [fd for fd in self._put_off if fd in ready]
+        waiting += [fd for fd in ready if fd not in self._put_off]
+        self._put_off = dict.fromkeys(waiting[DEFERRABLE_PER_TURN:])
+        for fd in waiting[:DEFERRABLE_PER_TURN]:
+            self._run_guarded(Work.SOCKETS, ready[fd])
+
+    def _run_due_timers(self) -> None:
+        # What becomes due meanwhile waits for the next turn: rounds that take longer than their pause must not keep the
+        # sockets waiting.
+        due_by = self.now
+        while self._timers and self._timers[0][0] <= due_by:
+            due, _, timer = heapq.heappop(self._timers)
             action, timer.action = timer.action, None
             if action is not None:
-                self._run_guarded(action)
+                self._read_clock()
+                self.statistics.timer_ran(self.now, self.now - due)
+                self._run_guarded(Work.TIMERS, action)
 
-    def _run_guarded(self, action: Callable[[], None]) -> None:
+    def _run_guarded(self, work: Work, action: Callable[[], None]) -> None:
+        self._read_clock()
         # One failing event must not end the process: safety rests on the leases and conditions that others check.
         try:
-            action()
+            self.statistics.measure(work, action)
         except Exception:
             log.exception("an event failed")
--- a/src/ramptide/metrics.py
+++ b/src/ramptide/metrics.py
@@ -1,10 +1,12 @@
 """The telemetry in the form that Prometheus reads."""
 
 from collections.abc import Iterator
+from datetime import timedelta
 from typing import TYPE_CHECKING
 
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
+from ramptide.process_statistics import ProcessStatistics
 from ramptide.team_usage import ResourceUsage, team_usage
 from ramptide.telemetry import RoundClock, Telemetry, Unavailable
 
@@ -86,3 +88,20 @@
     yield CounterMetricFamily(
         "ramptide_standstill_seconds", "how long it stood still", value=clock.total.total_seconds()
     )
+
+
+def process_metrics(statistics: ProcessStatistics, now: timedelta) -> "Iterator[Metric]":
+    """Yield the processor time by kind of work, and how late timers are."""
+    spent = CounterMetricFamily("ramptide_processor_seconds", "processor time by kind of work", labels=("work",))
+    for kind, time in statistics.by_kind().items():
+        spent.add_metric((kind,), time.total_seconds())
+    yield spent
+    yield CounterMetricFamily("ramptide_timers", "timers that were called", value=statistics.timers)
+    yield CounterMetricFamily(
+        "ramptide_timer_delay_seconds", "how late timers were called", value=statistics.delays.total_seconds()
+    )
+    yield GaugeMetricFamily(
+        "ramptide_worst_timer_delay_seconds",
+        "the longest delay of a timer in the last minute",
+        value=statistics.worst_delay(now).total_seconds(),
+    )
--- a/src/ramptide/service.py
+++ b/src/ramptide/service.py
@@ -10,11 +10,12 @@
 from ramptide import peers, wire
 from ramptide.admin import Admin
 from ramptide.app import Controller
-from ramptide.context import CBOR, JSON, ResponseCallback
+from ramptide.context import CBOR, JSON, Reply, ResponseCallback
 from ramptide.desk import error
 from ramptide.http.client import Client
 from ramptide.http.server import Exchange, Server
 from ramptide.loop import Loop, Timer
+from ramptide.process_statistics import Work
 from ramptide.telemetry import Route
 
 CLIENT_IDLE_TIMEOUT = timedelta(seconds=60)
@@ -65,7 +66,11 @@
         done: ResponseCallback,
     ) -> None:
         """Send a request; `done` gets the response, or None when none came in time."""
-        self._client.call(address, method, target, body, content_type, timeout, done)
+
+        def measured(reply: Reply | None) -> None:
+            self._loop.statistics.measure(Work.RESPONSES, lambda: done(reply))
+
+        self._client.call(address, method, target, body, content_type, timeout, measured)
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,9 +110,10 @@
         limits = _ConnectionLimits.for_cluster(settings.cluster)
         runtime = LoopRuntime(self.loop, Client(self.loop, limits.outbound))
         self.controller = Controller(runtime, settings, secrets.token_hex(INCARNATION_BYTES))
-        self.admin = Admin(self.controller)
+        self._measure = self.loop.statistics.measure
+        self.admin = Admin(self.controller, self.loop.statistics)
         self.client_server = Server(
-            self.loop, settings.listen, self._handle_client, limits.clients, CLIENT_IDLE_TIMEOUT
+            self.loop, settings.listen, self._handle_client, limits.clients, CLIENT_IDLE_TIMEOUT, deferrable=True
         )
         self.peer_server = Server(
             self.loop, settings.peer_listen, self._handle_peer, limits.peers, PEER_IDLE_TIMEOUT, MAX_PEER_BODY_BYTES
@@ -130,17 +136,21 @@
             if request.method != "POST":
                 _refuse_method(exchange, "POST")
                 return
+            # Leases hang on the workers' reports, so users' requests come after them.
+            exchange.prefer()
             controller.counters["reports"] += 1
-            controller.reports.beat(request.body, answer)
+            self._measure(Work.REPORTS, lambda: controller.reports.beat(request.body, answer))
         elif path == wire.HEALTH:
             if request.method not in ("GET", "HEAD"):
                 _refuse_method(exchange, "GET, HEAD")
                 return
+            exchange.prefer()
             healthy = controller.healthy()
             answer(200 if healthy else 503, wire.encode({"healthy": healthy, "lacks": controller.lacks()}))
         elif path == wire.RUNS or path.startswith(wire.RUNS + "/"):
             controller.counters["requests"] += 1
-            self._handle_job_request(exchange, path[len(wire.RUNS) + 1 :], answer)
+            subpath = path[len(wire.RUNS) + 1 :]
+            self._measure(Work.USERS, lambda: self._handle_job_request(exchange, subpath, answer))
         else:
             answer(404, error("no such path"))
 
@@ -178,14 +188,17 @@
             if request.method != "POST":
                 _refuse_method(exchange, "POST")
                 return
-            body = self.controller.syncing.take(request.body)
-            if body is None:
-                exchange.respond(400, error("not a message of a controller"))
-            else:
-                exchange.respond(200, body, CBOR)
+            self._measure(Work.PEERS, lambda: self._handle_sync(exchange))
         elif not self.admin.handle(request.method, path, request.body, exchange.respond):
             exchange.respond(404, error("no such path"))
 
+    def _handle_sync(self, exchange: Exchange) -> None:
+        body = self.controller.syncing.take(exchange.request.body)
+        if body is None:
+            exchange.respond(400, error("not a message of a controller"))
+        else:
+            exchange.respond(200, body, CBOR)
+
 
 def _refuse_method(exchange: Exchange, allowed: str) -> None:
     exchange.respond(405, error("method not allowed"), JSON, {"Allow": allowed})
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -687,6 +687,10 @@
         ({"teams": [{"name": "a", "cpus_max": -1}]}, "cpus_max"),
         ({"workers": {"report_s": 9.0, "lease_s": 5.0, "cancel_s": 20.0}}, "lease_s"),
         ({"quota": {"fd_limit": 3}}, "fd_limit"),
+        ({"quota": {"cpu": 0}}, "cpu"),
+        ({"quota": {"cpu": "half"}}, "cpu"),
+        ({"quota": {"ram_mb": -5.0}}, "ram_mb"),
+        ({"quota": 7}, "quota"),
         ({"state": {"rps": 0, "write_rps": 5.0, "value_kb": 4.0, "txn_ops": 12}}, "rps"),
     ],
 )
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -1,5 +1,6 @@
 """The parser against generated splits of its input; who makes room when all connections are in use."""
 
+import selectors
 import socket
 from collections.abc import Callable
 from datetime import timedelta
@@ -91,6 +92,79 @@
     assert message is not None and message.body == b"part and rest"
 
 
+def test_what_is_urgent_goes_before_many_deferrable_sockets_of_which_each_has_its_turn() -> None:
+    loop = Loop()
+    handled: list[object] = []
+    pairs = [socket.socketpair() for _ in range(41)]
+    for number, (near, far) in enumerate(pairs):
+        far.send(b"x")
+        # Nothing is read, so that all stay ready for good.
+        loop.watch(near, selectors.EVENT_READ, lambda mask, number=number: handled.append(number), number < 40)
+    loop.after(timedelta(0), lambda: handled.append("timer"))
+    loop.turn()
+    assert handled[:2] == [40, "timer"] and 0 < len(handled) - 2 < 40
+    for _ in range(20):
+        loop.turn()
+    assert set(handled) == {*range(41), "timer"}
+    for near, far in pairs:
+        near.close()
+        far.close()
+
+
+def answers_to(clients: int, connections: int, rounds: int) -> tuple[list[bytes], int]:
+    """So many clients ask again and again, each over its connection as long as that is kept: the answers, and how
+    many connections were closed without one."""
+    loop = Loop()
+    server = Server(loop, "127.0.0.1:0", lambda exchange: exchange.respond(200, b"{}"), connections, timedelta(hours=1))
+    address = server.sock.getsockname()
+    kept: dict[int, socket.socket] = {}
+    heads, cut_off = [], 0
+    for turn in range(rounds * clients):
+        client = kept.pop(turn % clients, None) or socket.create_connection(address, 5)
+        client.setblocking(False)
+        client.sendall(b"GET / HTTP/1.1\r\n\r\n")
+        answer = None
+        for _ in range(20):
+            loop.after(timedelta(0), lambda: None)
+            loop.turn()
+            try:
+                answer = client.recv(1000)
+                break
+            except BlockingIOError:
+                continue
+            except ConnectionError:
+                break
+        if not answer:
+            cut_off += 1
+            client.close()
+        elif b"Connection: close" in answer:
+            client.close()
+        else:
+            kept[turn % clients] = client
+        heads.append(answer or b"")
+    assert len(server.connections) <= connections
+    for client in kept.values():
+        client.close()
+    server.sock.close()
+    return heads, cut_off
+
+
+def test_more_clients_than_connections_take_turns_and_none_is_cut_off() -> None:
+    heads, cut_off = answers_to(clients=40, connections=16, rounds=3)
+    assert cut_off == 0 and all(head.startswith(b"HTTP/1.1 200") for head in heads)
+    assert sum(b"Connection: close" in head for head in heads) > 40, "most are asked to come back over a new one"
+
+
+def test_while_there_is_room_connections_are_kept() -> None:
+    heads, cut_off = answers_to(clients=10, connections=16, rounds=3)
+    assert cut_off == 0 and not any(b"Connection: close" in head for head in heads)
+
+
+def test_when_all_are_kept_clients_beyond_the_limit_are_cut_off(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("ramptide.http.server.CROWDED_PART", 10.0)
+    assert answers_to(clients=40, connections=16, rounds=3)[1] > 0
+
+
 def test_over_the_cap_the_connection_that_is_quiet_longest_makes_room() -> None:
     loop = Loop()
     server = Server(loop, "127.0.0.1:0", lambda exchange: exchange.respond(200, b"{}"), 3, timedelta(hours=1))
--- a/tests/test_on_call.py
+++ b/tests/test_on_call.py
@@ -19,6 +19,7 @@
 from ramptide.decisions import MachineDecision, log_decisions, written
 from ramptide.lease_expiry import EndedLease
 from ramptide.membership import Membership
+from ramptide.process_statistics import ProcessStatistics
 from ramptide.records import RENTAL_PREFIX
 from ramptide.telemetry import Telemetry
 
@@ -33,7 +34,7 @@
     got: list[bytes] = []
 
     def look(controller: Controller) -> None:
-        Admin(controller).handle("GET", path, b"", lambda code, said, kind: got.append(said))
+        Admin(controller, ProcessStatistics()).handle("GET", path, b"", lambda code, said, kind: got.append(said))
 
     world.ask(name, look)
     world.run(0.1)
@@ -501,12 +502,12 @@
     def _follow(self, node: Node) -> None:
         inner = node.awake
 
-        def awake(context: VirtualContext, action: Callable[[], None]) -> None:
+        def awake(context: VirtualContext, action: Callable[[], None], deferrable: bool = False) -> None:
             def act() -> None:
                 self._acting = node.name
                 action()
 
-            inner(context, act)
+            inner(context, act, deferrable)
 
         node.awake = awake  # type: ignore[method-assign]
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -52,6 +52,14 @@
     assert named in error and error.count("\n") == 1
 
 
+@pytest.mark.parametrize("quota", [None, {}, {"fd_limit": 64}])
+def test_a_quota_that_is_missing_or_names_no_processor_is_taken(tmp_path: Path, quota: dict[str, Any] | None) -> None:
+    cluster = {name: value for name, value in FILE["cluster"].items() if name != "quota"}
+    cluster |= {"quota": quota} if quota is not None else {}
+    found = load(written(tmp_path / "s.json", cluster=cluster)).cluster.quota
+    assert found.cpu is None and found.fd_limit == (quota or {}).get("fd_limit")
+
+
 def test_a_missing_or_broken_file(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
     assert main(["--config", str(tmp_path / "none.json")]) == 2
     (tmp_path / "s.json").write_text("{")
--- a/tests/world.py
+++ b/tests/world.py
@@ -7,7 +7,7 @@
 import itertools
 import json
 import random
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from datetime import UTC, datetime, timedelta
@@ -209,7 +209,7 @@
         return False
 
     def ask(self, node: str, call: Callable[[Controller], None]) -> None:
-        self.nodes[node].ask(call)
+        self.nodes[node].ask(call, deferrable=True)
 
     def poll(self, ref: str, node: str) -> tuple[int, dict[str, Any]] | None:
         got: list[tuple[int, dict[str, Any]]] = []
@@ -323,38 +323,55 @@
         self._context: VirtualContext | None = None
         self._starts = 0
         self._frozen_until = timedelta(0)
-        #: What each event costs of a slow processor: what comes meanwhile waits its turn.
+        #: What each event costs of a slow processor: what comes meanwhile waits its turn, users' requests last.
         self.event_cost = timedelta(0)
-        self._busy_until = timedelta(0)
+        self._urgent: deque[Callable[[], object]] = deque()
+        self._deferrable: deque[Callable[[], object]] = deque()
+        self._serving = False
 
     def freeze(self, seconds: float) -> None:
         """The process stands still while its clocks run on; timers and all that came in are due at once then."""
         self._frozen_until = self.world.now + seconds * S
 
-    def awake(self, context: VirtualContext, action: Callable[[], None]) -> None:
+    def awake(self, context: VirtualContext, action: Callable[[], None], deferrable: bool = False) -> None:
         """Does it now, or when the process goes on, if that still lives."""
         if self.world.now < self._frozen_until:
-            self.world.after(self._frozen_until - self.world.now, lambda: context.alive and self.awake(context, action))
+            left = self._frozen_until - self.world.now
+            self.world.after(left, lambda: context.alive and self.awake(context, action, deferrable))
             return
-        start = max(self.world.now, self._busy_until)
-        self._busy_until = start + self.event_cost
-        if start > self.world.now:
-            self.world.after(start - self.world.now, lambda: context.alive and action())
-        else:
+        if not self.event_cost:
             action()
+            return
+        (self._deferrable if deferrable else self._urgent).append(lambda: context.alive and action())
+        if not self._serving:
+            self._serving = True
+            self._serve()
+
+    def _serve(self) -> None:
+        queue = self._urgent or self._deferrable
+        if not queue:
+            self._serving = False
+            return
+        queue.popleft()()
+        self.world.after(self.event_cost, self._serve)
 
     @property
-    def backlog(self) -> timedelta:
-        """How long an event that comes now waits for its turn."""
-        return max(self._busy_until - self.world.now, timedelta(0))
+    def backlog(self) -> int:
+        """How many events wait for their turn."""
+        return len(self._urgent) + len(self._deferrable)
 
-    def ask(self, call: Callable[[Controller], None], dead: Callable[[], None] = lambda: None) -> None:
+    def ask(
+        self,
+        call: Callable[[Controller], None],
+        dead: Callable[[], None] = lambda: None,
+        deferrable: bool = False,
+    ) -> None:
         """A request that reaches the process."""
         controller, context = self.controller, self._context
         if controller is None or context is None:
             dead()
         else:
-            self.awake(context, lambda: call(controller))
+            self.awake(context, lambda: call(controller), deferrable)
 
     def start(self) -> None:
         self._starts += 1
@@ -384,7 +401,7 @@
         if self._context is not None:
             self._context.alive = False
         self.controller = None
-        self._frozen_until = self._busy_until = timedelta(0)
+        self._frozen_until = timedelta(0)
 
 
 class StateService:
