--- a/src/ramptide/app.py
+++ b/src/ramptide/app.py
@@ -13,9 +13,12 @@
 from ramptide.cloud import Cloud
 from ramptide.commits import CommitBatcher
 from ramptide.context import JSON, Reply, Runtime
+from ramptide.demand import LeaderKnowledge
 from ramptide.desk import Desk
+from ramptide.evictions import Evictor
 from ramptide.fleet import SICK
 from ramptide.floor import SILENT, UNTOLD, Floor
+from ramptide.handover import JobHandover
 from ramptide.job_scheduler import JobScheduler
 from ramptide.job_state import JobState
 from ramptide.jobs import Job
@@ -130,6 +133,9 @@
         self.membership = Membership(self.store, self.mirror, self.member, incarnation, cluster.nodes, self._on_view)
         self.commits = CommitBatcher(self.store, self.common)
         self.starter = Starter(self)
+        self.evictor = Evictor(self)
+        self.handover = JobHandover(self)
+        self.knowledge = LeaderKnowledge(self)
         self.syncing = Syncing(self)
         self.peers = Peers(
             context,
@@ -474,7 +480,8 @@
         self._owners.clear()
         self.peers.new_view()
         self.leader.new_view()
-        self.starter.new_view()
+        self.evictor.new_view()
+        self.handover.new_view()
         silent = set(self.floor.silent())
         self.floor.new_view()
         mine = view.members.get(self.member) == self.membership.incarnation
@@ -584,8 +591,8 @@
             self._settle(part, now)
         if self.may_start():
             self.starter.place(home, now)
-            self.starter.preempt(home, now)
-            self.starter.hand_over(home, now)
+            self.evictor.preempt(home, now)
+            self.handover.hand_over(home, now)
         self.syncing.mark(home, part, changed)
         self.reports.answer_held(now)
         self.results.flush(home, now)
--- /dev/null
+++ b/src/ramptide/demand.py
@@ -0,0 +1,151 @@
+"""What the leader decides by: waiting tasks of all schedulers, what teams use, what is known of each machine."""
+
+from collections import Counter
+from collections.abc import Iterable
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from ramptide import wire
+from ramptide.allowances import NOTHING, Amounts, add_amounts, limits_of
+from ramptide.fleet import Demand, Machine
+from ramptide.floor import SILENT, UNTOLD, Host
+from ramptide.job_scheduler import JobScheduler
+from ramptide.peers import WaitingRow
+from ramptide.task_state import FINISHED_NAMES
+
+if TYPE_CHECKING:
+    from ramptide.app import Controller
+
+ZERO = timedelta(0)
+#: So many silent machines are returned at once rather than that a new view waits for the end of their leases.
+FEW, FEW_SHARE = 3, 0.05
+#: The last ones may be fewer, as they may be healthy, and are waited for so many report intervals.
+LAST_SHARE, LAST_REPORTS = 0.01, 2
+
+
+class LeaderKnowledge:
+    """Puts together what our scheduler and the other controllers' messages tell."""
+
+    def __init__(self, controller: "Controller") -> None:
+        self._c = controller
+
+    def team_use(self) -> dict[str, Amounts]:
+        """Return what the attempts of all schedulers hold, by team."""
+        c = self._c
+        assert c.home is not None
+        using = c.home.usage()
+        for said in c.peers.messages():
+            for team, (cores, cards) in said.using.items():
+                add_amounts(using, team, cores, cards)
+        return using
+
+    def waiting_rows(self, home: JobScheduler, now: timedelta) -> list[WaitingRow]:
+        """Return a row for each of our jobs that has startable tasks."""
+        return [
+            (
+                w.job.ref,
+                startable,
+                (now - w.waiting_since).total_seconds() if w.waiting_since is not None else 0.0,
+                sorted(w.avoids),
+            )
+            for w in home.with_pending_tasks.values()
+            if w.retry_at <= now and (startable := w.startable)
+        ]
+
+    def asking(self, home: JobScheduler) -> dict[str, Amounts]:
+        """Return what our waiting tasks would use of each team's limit."""
+        asking: dict[str, Amounts] = {}
+        for work in home.with_pending_tasks.values():
+            if work.retry_at <= self._c.context.now:
+                run, tasks = work.job.run, work.startable
+                add_amounts(asking, run.team, run.cores * tasks, run.cards * tasks)
+        return asking
+
+    def demands(self) -> list[Demand]:
+        """Return the waiting tasks of all schedulers that their team's limit lets run now, most urgent first."""
+        c = self._c
+        home = c.home
+        assert home is not None
+        now, wall = c.context.now, c.context.wall()
+        using = self.team_use()
+        rows: list[tuple[WaitingRow, Counter[str]]] = [
+            (row, home.jobs[row[0]].zones) for row in self.waiting_rows(home, now)
+        ]
+        for said in c.peers.messages():
+            # A job that was handed over to us may still be in its old home's last message.
+            rows += [(row, Counter()) for row in said.waiting if row[0] not in home.jobs]
+        found = [(c.jobs[row[0]], row, placed) for row, placed in rows if row[0] in c.jobs]
+        found.sort(key=lambda one: c.starter.urgency_of(one[0], timedelta(seconds=one[1][2]), wall))
+        demands = []
+        for job, row, placed in found:
+            run = job.run
+            owner = c.teams.get(run.team)
+            most = limits_of(owner) if owner is not None else NOTHING
+            tasks = min(row[1], c.starter.headroom(run, using.get(run.team, NOTHING), most))
+            if tasks > 0:
+                add_amounts(using, run.team, run.cores * tasks, run.cards * tasks)
+                demands.append(Demand(run, tasks, timedelta(seconds=row[2]), Counter(placed), frozenset(row[3])))
+        return demands
+
+    def machines_known(self, listed: dict[str, str], missing: Iterable[str]) -> list[Machine]:
+        """Return what is known of every machine in the fleet record.
+
+        `listed`: the status of machines in the cloud's list. `missing`: machines that the list lacks.
+        """
+        c = self._c
+        now, wall = c.context.now, c.context.wall().timestamp()
+        c.floor.refresh()
+        rooms = {room.host: room for room in c.starter.rooms()}
+        gone = set(missing)
+        holding_up = self._holding_up(now)
+        machines = []
+        for name, record in c.machines.items():
+            host = c.floor.hosts.get(name) or Host()
+            room = rooms.get(name)
+            machines.append(
+                Machine(
+                    host=name,
+                    record=record,
+                    flavor=c.flavors.get(record.flavor),
+                    up=host.up,
+                    age=timedelta(seconds=max(0.0, wall - record.at)),
+                    # Only its owner can tell that it is silent: not to hear the owner says nothing of the machine.
+                    silent=now - max(host.heard, c.view_at) if host.known and host.quiet else ZERO,
+                    notice=None if host.notice is None else host.notice - now,
+                    failing=c.floor.failing(name) if name in c.floor.hosts else 0,
+                    failed=host.failing,
+                    tasks=host.busy + (len(c.home.attempts.get(name, ())) if c.home is not None else 0),
+                    room=room.copy() if room is not None else None,
+                    drained=host.known and host.leaving and not host.busy,
+                    listed=listed.get(name),
+                    known=name not in gone,
+                    holds_up=name in holding_up,
+                    deaf=now - host.deaf_since if host.deaf_since is not None else ZERO,
+                    unproven=c.floor.unproven(name, now),
+                    owner=c.owner(name),
+                    serving=self._serving(host) if room is not None and room.service_cores else [],
+                )
+            )
+        return machines
+
+    def _holding_up(self, now: timedelta) -> set[str]:
+        """Return the few machines that a new view waits for and that are returned rather than waited for.
+
+        These are silent ones, or the very last that did not report in time. On a large fleet some machine has nearly
+        always just failed.
+        """
+        c = self._c
+        left = {} if c.latched else c.unsettled()
+        silent = {name for name, why in left.items() if why == SILENT}
+        found = silent if len(silent) <= max(FEW, len(c.machines) * FEW_SHARE) else set()
+        end = c.others_end() if left and len(left) <= max(FEW, len(c.machines) * LAST_SHARE) else None
+        if end is not None and now - end > c.report_every * LAST_REPORTS:
+            # Nobody else answers them any more, so they would have found their owners.
+            found |= {name for name, why in left.items() if why == UNTOLD}
+        return found
+
+    def _serving(self, host: Host) -> list[wire.Run]:
+        """Return what runs there when that is services only, else nothing; tasks of finished jobs don't count."""
+        jobs = (self._c.jobs.get(row[0]) for row in host.tasks if row[3] not in FINISHED_NAMES)
+        found = [job.run for job in jobs if job is not None]
+        return found if all(run.shape == wire.SERVICE for run in found) else []
--- /dev/null
+++ b/src/ramptide/handover.py
@@ -0,0 +1,90 @@
+"""The handover of jobs that find no room on our own machines to the leader, who may use all machines."""
+
+import logging
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from ramptide.job_scheduler import JobScheduler
+from ramptide.job_state import JobState
+from ramptide.membership import View
+from ramptide.records import JOB_PREFIX, Handover, to_value
+from ramptide.store import Transaction, TransactionResult
+
+if TYPE_CHECKING:
+    from ramptide.app import Controller
+
+log = logging.getLogger(__name__)
+
+HAND_OVER_AGAIN = timedelta(milliseconds=500)
+
+
+class JobHandover:
+    """Writes the handovers of jobs, a few at a time."""
+
+    def __init__(self, controller: "Controller") -> None:
+        self._c = controller
+        #: Handovers that are being written.
+        self._moving = 0
+
+    def new_view(self) -> None:
+        """Forget the handovers under way in the previous view."""
+        self._moving = 0
+
+    def hand_over(self, home: JobScheduler, now: timedelta) -> None:
+        """Hand jobs that find no room on our own machines over to the leader, who may use all machines."""
+        c = self._c
+        view = c.view
+        assert view is not None
+        if c.membership.leading or view.leader not in c.fresh_members():
+            return
+        for work in list(home.with_pending_tasks.values()):
+            if self._moving >= c.store.limits.txn_ops:
+                return
+            waited = work.waiting_since is not None and now - work.waiting_since > c.tuning.hand_over
+            if waited and not work.frozen and work.retry_at <= now and c.ready(work):
+                self._hand_over_job(work, view, home)
+
+    def _hand_over_job(self, work: JobState, view: View, home: JobScheduler) -> None:
+        work.frozen = True
+        self._moving += 1
+        record = msgspec.structs.replace(
+            work.job.record, home=view.leader, hand=Handover(view.number, self._c.member, home.seq + 1)
+        )
+        key = JOB_PREFIX + work.job.ref
+        txn = Transaction(when={key: work.job.stamp}, puts=[(key, to_value(record), None)])
+        self._commit_handover(work, view, txn, unsure=False)
+
+    def _commit_handover(self, work: JobState, view: View, txn: Transaction, unsure: bool) -> None:
+        """Write the handover of a job.
+
+        `unsure`: a copy without an answer may have been applied, or may be yet. The new scheduler relies on nothing
+        being started here after it, so the write is repeated until its result is known.
+        """
+        c = self._c
+
+        def done(outcome: TransactionResult) -> None:
+            if outcome.epoch is not None:
+                log.debug("%s goes to %s", work.job.ref, view.leader)
+                c.mirror.applied(outcome.epoch, txn.puts, txn.drops)
+            if c.view is not view:
+                return
+            if outcome.epoch is not None or outcome.failed is None and not outcome.sent and not unsure:
+                self._thaw(work, view)
+            elif outcome.failed is None:
+                c.context.after(HAND_OVER_AGAIN, again)
+            else:
+                # The record moved on, perhaps by the copy: our own must show it before anything is started.
+                c.mirror.catch_up(lambda fresh: self._thaw(work, view) if fresh else again())
+
+        def again() -> None:
+            if c.view is view:
+                self._commit_handover(work, view, txn, unsure=True)
+
+        c.commits.add(txn, done)
+
+    def _thaw(self, work: JobState, view: View) -> None:
+        if self._c.view is view:
+            self._moving -= 1
+            work.frozen = False
--- a/src/ramptide/leader.py
+++ b/src/ramptide/leader.py
@@ -92,11 +92,11 @@
             return
         self.fleet.tuning = c.tuning
         listed = {host: rented.status for host, rented in self._listed.items()}
-        machines = c.starter.machines_known(listed, self._missing)
+        machines = c.knowledge.machines_known(listed, self._missing)
         # Nothing is rented before a new leader has rebuilt what it knows from reports and a fresh list.
         # Lost machines are given back meanwhile: the answer proves them gone, and that settles them.
         rebuilt = c.latched and self._list_at is not None
-        plan = self.fleet.step(c.context.now, c.starter.demands(), machines, c.flavors.values(), rebuilt)
+        plan = self.fleet.step(c.context.now, c.knowledge.demands(), machines, c.flavors.values(), rebuilt)
         c.floor.keep_pool(self.fleet.pool)
         self._return(plan)
         self._write(plan)
--- a/src/ramptide/syncing.py
+++ b/src/ramptide/syncing.py
@@ -135,7 +135,7 @@
             for ref in sync.took:
                 home.transfer_confirmed(ref)
         for ref, task, number, grace in sync.evict:
-            c.starter.evict(ref, task, number, timedelta(seconds=grace))
+            c.evictor.evict(ref, task, number, timedelta(seconds=grace))
 
     def acknowledge(self, home: JobScheduler, owner: str, ack: int) -> None:
         """Note that the owner has processed our messages up to `ack`, and that its rows are as of then."""
@@ -252,7 +252,7 @@
             grants_ack=self.grants_ack,
             took=self._took,
             pool=c.floor.pool if leads else [],
-            evict=[(*key, one.grace) for key, one in c.starter.evictions.items()] if leads else [],
+            evict=[(*key, one.grace) for key, one in c.evictor.evictions.items()] if leads else [],
             cancelled=[ref for _, ref in self._cancelled],
         )
         rows: dict[str, MachineStatus | None] = {}
@@ -277,8 +277,8 @@
                 status=status,
                 wishes=wishes,
                 grants=self._granted.get(peer.name),
-                asking=c.starter.asking(home) if first else {},
-                waiting=c.starter.waiting_rows(home, now) if first else [],
+                asking=c.knowledge.asking(home) if first else {},
+                waiting=c.knowledge.waiting_rows(home, now) if first else [],
                 strangers=part.unrecorded_machines() if first else {},
                 unproven=unproven,
             )
@@ -314,7 +314,7 @@
         assert view is not None and self.allowances is not None
         if not c.membership.leading or not c.latched:
             return {}
-        using, asking = {c.member: home.usage()}, {c.member: c.starter.asking(home)}
+        using, asking = {c.member: home.usage()}, {c.member: c.knowledge.asking(home)}
         for member in view.members:
             if member == c.member:
                 continue
--- a/src/ramptide/team_usage.py
+++ b/src/ramptide/team_usage.py
@@ -49,7 +49,7 @@
     home = controller.home
     if home is None:
         return {}
-    totals = _Totals(controller.starter.team_use(), home.usage_with_transfers(), waiting_for_limits(controller, home))
+    totals = _Totals(controller.knowledge.team_use(), home.usage_with_transfers(), waiting_for_limits(controller, home))
     return {name: _usage_of(controller, name, totals) for name in controller.teams}
 
 
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -62,6 +62,42 @@
         assert copy == whole[inbox.seq]
 
 
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(EVENTS, st.integers(1, 4))
+def test_a_table_told_in_parts_is_whole_after_the_last_part(events: list[tuple[str, int]], limit: int) -> None:
+    """Parts get lost, late and repeated like whole messages, and the table changes in between."""
+    ledger: ChangeLog[int] = ChangeLog()
+    table: dict[int, int] = {}
+    inbox, copy = ReceivedSequence(), dict[int, int]()
+    seq = taken = 0
+    sent: list[tuple[int, int, bool, dict[int, int | None], dict[int, int]]] = []
+    for kind, number in [*events, *[("send", 0), ("deliver", 0), ("answer", 0)] * 10]:
+        if kind in ("set", "drop"):
+            seq += 1
+            table.pop(number, None)
+            if kind == "set":
+                table[number] = seq
+            ledger.mark(number, seq)
+        elif kind == "send":
+            seq += 1
+            split = ledger.split_after(taken, limit)
+            changes = {key: table.get(key) for key in ledger.since(taken, split)}
+            assert len(changes) <= limit, "each change here has a number of its own"
+            sent.append((taken, seq if split is None else split, split is None, changes, dict(table)))
+        elif kind in ("deliver", "late") and sent:
+            base, upto, last, changes, whole = sent[-1] if kind == "deliver" else sent[number % len(sent)]
+            if inbox.takes(base, upto):
+                for key, value in changes.items():
+                    copy.pop(key, None)
+                    if value is not None:
+                        copy[key] = value
+                assert copy == whole or not last
+        elif kind == "answer":
+            taken = inbox.seq
+            ledger.prune(taken, table)
+    assert copy == table, "no part holds up the next"
+
+
 def test_a_message_after_a_gap_is_not_taken() -> None:
     inbox = ReceivedSequence()
     assert inbox.takes(0, 3) and not inbox.takes(5, 6), "what changed from 3 to 5 is missing here"
@@ -245,7 +281,7 @@
     world = started(5)
     controller = world.nodes[leader(world)].controller
     assert controller is not None and controller.part is not None
-    controller.leader._returned["vm-1"] = None
+    controller.leader._returned["vm-1"] = controller.context.now
     controller.part.unrecorded["vm-1"] = beat(1, 2, 99)
     world.run(30)
     assert "vm-1" not in controller.machines
--- a/tests/test_failing_jobs.py
+++ b/tests/test_failing_jobs.py
@@ -15,6 +15,7 @@
 
 from ramptide import fleet
 from ramptide.app import Controller
+from ramptide.demand import LeaderKnowledge
 from ramptide.failure_history import FAILED_JOBS_KEPT, record_outcome
 from ramptide.fleet import SICK
 from ramptide.floor import Floor
@@ -22,7 +23,6 @@
 from ramptide.job_state import JobState
 from ramptide.owned_machine import OwnedMachine
 from ramptide.records import MachineRecord
-from ramptide.starts import Starter
 
 
 def controllers(world: World) -> list[Controller]:
@@ -220,9 +220,9 @@
 
 
 def test_when_sick_machines_stay_in_the_pool_they_do_not(monkeypatch: pytest.MonkeyPatch) -> None:
-    known = Starter.machines_known
+    known = LeaderKnowledge.machines_known
     monkeypatch.setattr(
-        Starter, "machines_known", lambda self, *said: [replace(one, failed=0) for one in known(self, *said)]
+        LeaderKnowledge, "machines_known", lambda self, *said: [replace(one, failed=0) for one in known(self, *said)]
     )
     assert not done_though_the_first_are_sick(6, 400)
 
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -7,11 +7,14 @@
 from typing import Any
 
 import pytest
-from world import MS, S, Task, Worker, World, leader, owner
+from users import submit
+from world import S, Task, Worker, World, leader
 
 from ramptide import wire
 from ramptide.app import Controller
+from ramptide.floor import Floor
 from ramptide.records import JobRecord, Progress, to_value
+from ramptide.starts import Starter
 
 SMALL, LARGE = 500, 4000
 RENTED_TOGETHER = 50
@@ -152,6 +155,48 @@
     assert work_of_a_start(large, "j-900001") < 1.5 * work_of_a_start(small, "j-900001") + 50
 
 
+def counted(monkeypatch: pytest.MonkeyPatch, kind: type, name: str) -> list[object]:
+    """The calls of a method from now on."""
+    calls: list[object] = []
+    method = getattr(kind, name)
+
+    def count(self: object, *arguments: object) -> object:
+        calls.append(arguments)
+        return method(self, *arguments)
+
+    monkeypatch.setattr(kind, name, count)
+    return calls
+
+
+def test_jobs_that_are_larger_than_all_room_are_not_put_in_order_round_after_round(
+    small: World, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    for number in range(20):
+        small.submit(f"j-80000{number}", pieces=3, cores=6.0, guessS=5000.0)
+        submit(small, small.rng, f"j-80000{number}")
+    small.run(5)
+    c = next(c for c in controllers(small) if c.membership.leading)
+    assert c.home is not None and len(c.home.with_pending_tasks) >= 20
+    ordered = counted(monkeypatch, Starter, "urgency_of")
+    c.starter.place(c.home, c.context.now)
+    assert ordered == []
+    waits = [c.home.jobs[f"j-80000{number}"] for number in range(20)]
+    assert all(work.waiting_since is not None and work.without_room_since is not None for work in waits)
+
+
+def test_only_the_rooms_that_are_asked_for_are_worked_out(small: World, monkeypatch: pytest.MonkeyPatch) -> None:
+    c = next(c for c in controllers(small) if not c.membership.leading)
+    assert c.part is not None
+    c.floor.refresh()
+    before = dict(c.floor.rooms)
+    worked_out = counted(monkeypatch, Floor, "_room")
+    c.floor.touch_all()
+    c.floor.refresh(c.part.machines)
+    assert len(worked_out) == len(c.part.machines) < SMALL / 2
+    c.floor.refresh()
+    assert len(worked_out) == SMALL and c.floor.rooms == before
+
+
 def test_a_controller_that_was_not_heard_tells_its_whole_table_in_parts(large: World) -> None:
     """Two that do not lead cannot reach each other while each machine of theirs changes."""
     world = large
@@ -193,7 +238,7 @@
     healthy = [worker for worker in world.workers.values() if worker not in hung]
     begun = world.now
     assert world.run_until(told, 9)
-    assert world.now - begun < 1.5 * S, "a worker whose report the lost controller has waits 4 s before it asks another", "a worker whose report the lost controller has waits 4 s before it asks another"
+    assert world.now - begun < 1.5 * S, "a worker whose report the lost controller has waits 4 s before it asks another"
     assert world.run_until(lambda: all(c.latched for c in left), 14), "the lease is 8 s"
     assert world.longest_message < LONGEST_MESSAGE_BYTES
     assert world.rules.broken == []
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -324,7 +324,7 @@
 
 
 def test_when_nobody_asks_again_the_job_stays_where_it_was(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("ramptide.starts.HAND_OVER_AGAIN", 1000 * S)
+    monkeypatch.setattr("ramptide.handover.HAND_OVER_AGAIN", 1000 * S)
     world = started(3)
     swallow_a_handover(world, None)
     job_for_another_part(world)
@@ -341,7 +341,7 @@
     home, lead = world.nodes[old].controller, world.nodes[new].controller
     assert home is not None and lead is not None and home.view is not None and home.home is not None
     for controller in (home, lead):
-        controller.starter.hand_over = lambda home, now: None  # type: ignore[method-assign]
+        controller.handover.hand_over = lambda home, now: None  # type: ignore[method-assign]
     for node in world.nodes.values():
         assert node.controller is not None
         node.controller.desk._home_for = lambda run: old
