--- a/src/ramptide/syncing.py
+++ b/src/ramptide/syncing.py
@@ -45,6 +45,8 @@
         self.grants_ack = 0
         self._rows: ChangeLog[str] = ChangeLog()
         self._wishes: dict[str, ChangeLog[str]] = {}
+        #: The number from which on what was removed is forgotten. Several numbers may be used up at a time.
+        self._prune_at = PRUNE_EVERY
         # The last split, and what it takes as taken over by us: always told together.
         self._granted: dict[str, Grants] = {}
         self._took: list[str] = []
@@ -57,6 +59,7 @@
         self.grants_ack = 0
         self._rows = ChangeLog()
         self._wishes = {name: ChangeLog() for name in c.peers.all}
+        self._prune_at = PRUNE_EVERY
         self._granted, self._took = {}, []
         self.allowances = Allowances(c.teams, sorted(view.members)) if view is not None else None
 
@@ -179,7 +182,8 @@
             if count % MACHINES_PER_NUMBER == 0:
                 home.seq += 1
         self._hurry_for(part, changed)
-        if home.seq % PRUNE_EVERY == 0:
+        if home.seq >= self._prune_at:
+            self._prune_at = home.seq + PRUNE_EVERY
             self._prune(part)
 
     def _mark_desired(self, home: JobScheduler) -> dict[str, list[DesiredTaskRow] | None]:
