Syncing.send is put together by short functions; removed machines are forgotten after 200 numbers

No change of what is told, but for the pruning, which now happens when messages leave: a quiet fleet kept the names of returned machines. Silent machines' ages are worked out once for all messages.

--- a/src/ramptide/syncing.py
+++ b/src/ramptide/syncing.py
@@ -1,6 +1,7 @@
 """The messages exchanged with the other controllers: machines' states, desired tasks, acknowledgements and grants."""
 
 from collections import deque
+from dataclasses import dataclass
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
@@ -29,7 +30,7 @@
 CALM = timedelta(seconds=2)
 #: The split of the team limits is worked out anew so often at most.
 DIVIDE_EVERY = timedelta(milliseconds=150)
-PRUNE_EVERY = 1000
+PRUNE_EVERY = 200
 #: Machines that one message tells of, and that share one number. The whole table of thousands of machines would take
 #: longer to encode, send and read than a message may take, and would be sent again and again.
 MACHINES_PER_MESSAGE = 300
@@ -182,9 +183,6 @@
             if count % MACHINES_PER_NUMBER == 0:
                 home.seq += 1
         self._hurry_for(part, changed)
-        if home.seq >= self._prune_at:
-            self._prune_at = home.seq + PRUNE_EVERY
-            self._prune(part)
 
     def _mark_desired(self, home: JobScheduler) -> dict[str, list[DesiredTaskRow] | None]:
         """Enter what the scheduler asks for; return what it asks of our own machines."""
@@ -227,21 +225,60 @@
         c = self._c
         view = c.view
         assert view is not None
-        leads = c.membership.leading
-        if leads and now - self._divided_at >= DIVIDE_EVERY:
+        if c.membership.leading and now - self._divided_at >= DIVIDE_EVERY:
             self._divided_at = now
-            self._took = self._taken(home, view)
-            before, self._granted = self._granted, self._divide(home, self._took)
-            for name, new in self._granted.items():
-                if name in c.peers.all and new != before.get(name):
-                    c.peers.hurry(c.peers.all[name], AT_ONCE)
+            self._update_grants(home, view)
         due = c.peers.due()
         if not due:
             return
         home.seq += 1
+        self._forget_old(part, now)
+        base = self._base(home, part, view)
+        statuses = _Statuses(part, now)
+        unproven = c.floor.all_unproven(now)
+        for peer in due:
+            split = self._rows.split_after(peer.taken, MACHINES_PER_MESSAGE) if peer.name in view.members else None
+            changes = self._changes_for(peer, view, home, statuses, split)
+            if split is not None:
+                c.peers.send(peer, _part_of(base, split, changes), AT_ONCE)
+                continue
+            first = peer.name == view.leader
+            sync = msgspec.structs.replace(
+                base,
+                base=changes.base,
+                status=changes.status,
+                wishes=changes.wishes,
+                grants=self._granted.get(peer.name),
+                asking=c.knowledge.asking(home) if first else {},
+                waiting=c.knowledge.waiting_rows(home, now) if first else [],
+                strangers=part.unrecorded_machines() if first else {},
+                unproven=unproven,
+            )
+            calm = c.latched and not c.mirror.lacking and not first
+            c.peers.send(peer, sync, CALM if calm else EVERY)
+
+    def _update_grants(self, home: JobScheduler, view: View) -> None:
+        """As leader, split the team limits anew; controllers whose share changes hear at once."""
+        c = self._c
+        self._took = self._taken(home, view)
+        before, self._granted = self._granted, self._divide(home, self._took)
+        for name, new in self._granted.items():
+            if name in c.peers.all and new != before.get(name):
+                c.peers.hurry(c.peers.all[name], AT_ONCE)
+
+    def _forget_old(self, part: Shard, now: timedelta) -> None:
+        seq = self._c.home.seq if self._c.home is not None else 0
+        if seq >= self._prune_at:
+            self._prune_at = seq + PRUNE_EVERY
+            self._prune(part)
         while self._cancelled and now - self._cancelled[0][0] > CANCELLED_KEPT:
             self._cancelled.popleft()
-        base = Sync(
+
+    def _base(self, home: JobScheduler, part: Shard, view: View) -> Sync:
+        """Return a message with all that every controller is told."""
+        c = self._c
+        leads = c.membership.leading
+        return Sync(
             member=c.member,
             inc=c.membership.incarnation,
             view=view.number,
@@ -259,35 +296,20 @@
             evict=[(*key, one.grace) for key, one in c.evictor.evictions.items()] if leads else [],
             cancelled=[ref for _, ref in self._cancelled],
         )
-        rows: dict[str, MachineStatus | None] = {}
-        unproven = c.floor.all_unproven(now)
-        for peer in due:
-            # Those outside the view hear of it too, so that they stop to act under an older one.
-            inside = peer.name in view.members
-            first = peer.name == view.leader
-            split = self._rows.split_after(peer.taken, MACHINES_PER_MESSAGE) if inside else None
-            status = {}
-            for host in self._rows.since(peer.taken, split) if inside else ():
-                if host not in rows:
-                    rows[host] = part.status(host, now)
-                status[host] = rows[host]
-            wishes = {host: home.desired_tasks(host) for host in self._wishes[peer.name].since(peer.taken, split)}
-            if split is not None:
-                c.peers.send(peer, _part_of(base, peer.taken, split, status, wishes), AT_ONCE)
-                continue
-            sync = msgspec.structs.replace(
-                base,
-                base=peer.taken,
-                status=status,
-                wishes=wishes,
-                grants=self._granted.get(peer.name),
-                asking=c.knowledge.asking(home) if first else {},
-                waiting=c.knowledge.waiting_rows(home, now) if first else [],
-                strangers=part.unrecorded_machines() if first else {},
-                unproven=unproven,
-            )
-            calm = c.latched and not c.mirror.lacking and not first
-            c.peers.send(peer, sync, CALM if calm else EVERY)
+
+    def _changes_for(
+        self, peer: Peer, view: View, home: JobScheduler, statuses: "_Statuses", split: int | None
+    ) -> "_Changes":
+        """Return what has changed for a controller since what it took, up to the number `split` if there is one.
+
+        Those outside the view hear of it too, so that they stop to act under an older one, but not of machines.
+        """
+        inside = peer.name in view.members
+        return _Changes(
+            base=peer.taken,
+            status={host: statuses.of(host) for host in self._rows.since(peer.taken, split)} if inside else {},
+            wishes={host: home.desired_tasks(host) for host in self._wishes[peer.name].since(peer.taken, split)},
+        )
 
     def send_outside(self) -> None:
         """Without a place in a view, tell the others only that this process is there."""
@@ -344,13 +366,31 @@
         return {host: kind for host, kind in found.items() if host not in c.machines}
 
 
-def _part_of(
-    whole: Sync,
-    base: int,
-    up_to: int,
-    status: dict[str, MachineStatus | None],
-    wishes: dict[str, list[DesiredTaskRow] | None],
-) -> Sync:
+class _Statuses:
+    """The states of machines as of one moment, each worked out once for all messages."""
+
+    def __init__(self, part: Shard, now: timedelta) -> None:
+        self._part = part
+        self._now = now
+        self._known: dict[str, MachineStatus | None] = {}
+
+    def of(self, host: str) -> MachineStatus | None:
+        """Return a machine's state; None when we have no such machine."""
+        if host not in self._known:
+            self._known[host] = self._part.status(host, self._now)
+        return self._known[host]
+
+
+@dataclass(frozen=True, slots=True)
+class _Changes:
+    """What has changed since the number `base`: machines' states, and what we desire of the receiver's machines."""
+
+    base: int
+    status: dict[str, MachineStatus | None]
+    wishes: dict[str, list[DesiredTaskRow] | None]
+
+
+def _part_of(whole: Sync, up_to: int, changes: _Changes) -> Sync:
     """Return a message with the changes up to a number, after which more follow.
 
     It has nothing that says how far we are in all else: what it lacks of our machines is still to be told.
@@ -363,9 +403,9 @@
         lacks=whole.lacks,
         epoch=whole.epoch,
         wire=whole.wire,
-        base=base,
+        base=changes.base,
         more=True,
-        status=status,
-        wishes=wishes,
+        status=changes.status,
+        wishes=changes.wishes,
         cancelled=whole.cancelled,
     )
