--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -28,37 +28,52 @@
 )
 
 
+class SenderTable:
+    """A table with its change log, and the plain model of both: the whole table as it is now."""
+
+    def __init__(self) -> None:
+        self.ledger: ChangeLog[int] = ChangeLog()
+        self.whole: dict[int, int] = {}
+        self.seq = 0
+
+    def change(self, kind: str, key: int) -> None:
+        self.seq += 1
+        self.whole.pop(key, None)
+        if kind == "set":
+            self.whole[key] = self.seq
+        self.ledger.mark(key, self.seq)
+
+
+def take_changes(copy: dict[int, int], changes: dict[int, int | None]) -> None:
+    for key, value in changes.items():
+        copy.pop(key, None)
+        if value is not None:
+            copy[key] = value
+
+
 @settings(derandomize=True, max_examples=300, deadline=None)
 @given(EVENTS)
 def test_changes_since_an_acknowledged_number_build_the_whole_table(events: list[tuple[str, int]]) -> None:
     """The plain model is a copy of the sender's whole table at each number; messages get lost, late and repeated."""
-    ledger: ChangeLog[int] = ChangeLog()
-    table: dict[int, int] = {}
+    table = SenderTable()
     whole: dict[int, dict[int, int]] = {0: {}}
     inbox, copy = ReceivedSequence(), dict[int, int]()
-    seq = taken = 0
+    taken = 0
     sent: list[tuple[int, int, dict[int, int | None]]] = []
     for kind, number in events:
         if kind in ("set", "drop"):
-            seq += 1
-            table.pop(number, None)
-            if kind == "set":
-                table[number] = seq
-            ledger.mark(number, seq)
+            table.change(kind, number)
         elif kind == "send":
-            seq += 1
-            sent.append((taken, seq, {key: table.get(key) for key in ledger.since(taken)}))
+            table.seq += 1
+            sent.append((taken, table.seq, {key: table.whole.get(key) for key in table.ledger.since(taken)}))
         elif kind in ("deliver", "late") and sent:
             base, upto, changes = sent[-1] if kind == "deliver" else sent[number % len(sent)]
             if inbox.takes(base, upto):
-                for key, value in changes.items():
-                    copy.pop(key, None)
-                    if value is not None:
-                        copy[key] = value
+                take_changes(copy, changes)
         elif kind == "answer":
             taken = inbox.seq
-            ledger.prune(taken, table)
-        whole[seq] = dict(table)
+            table.ledger.prune(taken, table.whole)
+        whole[table.seq] = dict(table.whole)
         assert copy == whole[inbox.seq]
 
 
@@ -66,36 +81,28 @@
 @given(EVENTS, st.integers(1, 4))
 def test_a_table_told_in_parts_is_whole_after_the_last_part(events: list[tuple[str, int]], limit: int) -> None:
     """Parts get lost, late and repeated like whole messages, and the table changes in between."""
-    ledger: ChangeLog[int] = ChangeLog()
-    table: dict[int, int] = {}
+    table = SenderTable()
     inbox, copy = ReceivedSequence(), dict[int, int]()
-    seq = taken = 0
+    taken = 0
     sent: list[tuple[int, int, bool, dict[int, int | None], dict[int, int]]] = []
     for kind, number in [*events, *[("send", 0), ("deliver", 0), ("answer", 0)] * 10]:
         if kind in ("set", "drop"):
-            seq += 1
-            table.pop(number, None)
-            if kind == "set":
-                table[number] = seq
-            ledger.mark(number, seq)
+            table.change(kind, number)
         elif kind == "send":
-            seq += 1
-            split = ledger.split_after(taken, limit)
-            changes = {key: table.get(key) for key in ledger.since(taken, split)}
+            table.seq += 1
+            split = table.ledger.split_after(taken, limit)
+            changes = {key: table.whole.get(key) for key in table.ledger.since(taken, split)}
             assert len(changes) <= limit, "each change here has a number of its own"
-            sent.append((taken, seq if split is None else split, split is None, changes, dict(table)))
+            sent.append((taken, split or table.seq, split is None, changes, dict(table.whole)))
         elif kind in ("deliver", "late") and sent:
             base, upto, last, changes, whole = sent[-1] if kind == "deliver" else sent[number % len(sent)]
             if inbox.takes(base, upto):
-                for key, value in changes.items():
-                    copy.pop(key, None)
-                    if value is not None:
-                        copy[key] = value
+                take_changes(copy, changes)
                 assert copy == whole or not last
         elif kind == "answer":
             taken = inbox.seq
-            ledger.prune(taken, table)
-    assert copy == table, "no part holds up the next"
+            table.ledger.prune(taken, table.whole)
+    assert copy == table.whole, "no part holds up the next"
 
 
 def test_a_message_after_a_gap_is_not_taken() -> None:
