--- a/src/ramptide/admin.py
+++ b/src/ramptide/admin.py
@@ -21,6 +21,7 @@
     from ramptide.app import Controller
 
 SETTINGS_PATH, STATUS_PATH, METRICS_PATH = "/admin/settings", "/admin/status", "/metrics"
+QUOTA_PATH = "/admin/quota"
 
 Answer = Callable[[int, bytes, str], None]
 
@@ -39,6 +40,11 @@
             STATUS_PATH: {"GET": self._status},
             METRICS_PATH: {"GET": self._metrics},
         }
+        if self._c.quota is not None:
+            from ramptide.quota.operators import QuotaAdmin
+
+            quota = QuotaAdmin(self._c, self._c.quota)
+            calls[QUOTA_PATH] = {"GET": quota.show, "PATCH": quota.change}
         if path not in calls:
             return False
         call = calls[path].get(method)
@@ -106,6 +112,7 @@
             "answers": c.telemetry.answers_by_route(),
             "unavailable": {reason.value: count for reason, count in c.telemetry.unavailable.items()},
             "teams": msgspec.to_builtins(team_usage(c)),
+            "quota": self._quota_status(),
             "counts": {
                 "trigger": fleet.trigger.name.lower(),
                 "waiting": fleet.waiting,
@@ -120,6 +127,13 @@
         }
         answer(200, wire.encode(status), JSON)
 
+    def _quota_status(self) -> dict[str, Any] | None:
+        if self._c.quota is None:
+            return None
+        from ramptide.quota.operators import quota_status
+
+        return quota_status(self._c, self._c.quota)
+
     def _process_status(self) -> dict[str, Any] | None:
         if self._process is None:
             return None
@@ -216,6 +230,10 @@
         for name, text in texts.items():
             yield CounterMetricFamily(f"ramptide_{name}", text, value=c.counters[name])
         yield from team_metrics(c)
+        if c.quota is not None:
+            from ramptide.quota.operators import quota_metrics
+
+            yield from quota_metrics(c, c.quota)
         yield from membership_metrics(c.telemetry)
         yield from answer_metrics(c.telemetry)
         yield from lease_metrics(c.telemetry)
--- a/src/ramptide/allowances.py
+++ b/src/ramptide/allowances.py
@@ -2,46 +2,68 @@
 
 from collections import deque
 from collections.abc import Mapping
+from typing import Protocol
 
-from ramptide import wire
+from ramptide.amounts import NO_LIMIT, NOTHING, Amounts, Grants
 
-Amounts = tuple[float, float]
-Grants = dict[str, Amounts]
-NOTHING: Amounts = (0.0, 0.0)
-NO_LIMIT = float("inf")
+Offsets = Mapping[str, Grants]
 
 
-def add_amounts(total: Grants, team: str, cores: float, cards: float) -> None:
-    """Add amounts of cores and cards (GPUs) to a team's entry in `total`, which is changed in place."""
-    before = total.get(team, NOTHING)
-    total[team] = (before[0] + cores, before[1] + cards)
+class SplitPolicy(Protocol):
+    """Decides how much of a team's limit each member should have."""
 
+    def targets(self, team: str, limit: Amounts, using: Mapping[str, Amounts]) -> dict[str, Amounts]:
+        """Return what each member should have, given what each uses; together no more than the limit or the use."""
 
-def limits_of(team: wire.Team) -> Amounts:
-    """Return the team's limits on cores and cards, each `NO_LIMIT` where the settings give none."""
-    return (team.cpus_max or NO_LIMIT, team.gpus_max or NO_LIMIT)
 
+class ProportionalSplit:
+    """Gives each member what it uses, and of the rest as large a part as it has of all that waits."""
 
-def limited(team: wire.Team | None) -> bool:
-    """Tell whether the team has a limit on cores or cards; an unknown team (None) has none."""
-    return team is not None and bool(team.cpus_max or team.gpus_max)
+    def __init__(self, waiting: Mapping[str, Grants]) -> None:
+        self._waiting = waiting
+
+    def targets(self, team: str, limit: Amounts, using: Mapping[str, Amounts]) -> dict[str, Amounts]:
+        """Return the targets by member, each resource for itself."""
+        sides = [self._side(team, side, limit[side], using) for side in (0, 1)]
+        return {member: Amounts(sides[0][member], sides[1][member]) for member in using}
+
+    def _side(self, team: str, side: int, limit: int, using: Mapping[str, Amounts]) -> dict[str, int]:
+        spare = max(0, limit - sum(used[side] for used in using.values()))
+        waiting = {member: self._waiting.get(member, {}).get(team, NOTHING)[side] for member in using}
+        wanted = sum(waiting.values())
+        part = min(spare, wanted)
+        return {
+            member: used[side] + (waiting[member] * part // wanted if wanted > 0 else 0)
+            for member, used in using.items()
+        }
 
 
 class Allowances:
     """The leader's record of what each member may use of each team's limit.
 
     A grant is raised only by what is certainly free: a member counts with the largest grant that it may still act on
-    (all sent since the last one it acknowledged) or with what it uses, if that is more.
+    (all sent since the last one it acknowledged) or with what it uses, if that is more. Where members pass share to
+    each other, `offsets` says by how much that has moved each of them away from its grant.
     """
 
-    def __init__(self, teams: Mapping[str, wire.Team], members: list[str]) -> None:
-        self._limits = {name: limits_of(team) for name, team in teams.items() if limited(team)}
+    def __init__(self, limits: Mapping[str, Amounts], members: list[str]) -> None:
+        self._limits = dict(limits)
         self._sent: dict[str, deque[tuple[int, Grants]]] = {member: deque([(0, {})]) for member in members}
 
+    def change_limits(self, limits: Mapping[str, Amounts]) -> None:
+        """Split by these limits from now on; a team that is not named any more keeps what it was granted last."""
+        self._limits = dict(limits)
+
     def current(self, member: str) -> Grants:
         """Return the grants by team that the member was sent last."""
         return self._sent[member][-1][1]
 
+    def most(self, member: str, team: str, offsets: Offsets) -> Amounts:
+        """Return the largest share of a team that the member may still act on."""
+        moved = offsets.get(member, {}).get(team, NOTHING)
+        grants = [grants.get(team, NOTHING) for _, grants in self._sent[member]]
+        return Amounts(max(one[0] for one in grants) + moved[0], max(one[1] for one in grants) + moved[1])
+
     def acknowledged(self, member: str, seq: int) -> None:
         """Note that the member acts on the grants of message `seq` and on no older ones."""
         sent = self._sent[member]
@@ -49,52 +71,81 @@
             sent.popleft()
 
     def divide(
-        self, seq: int, using: Mapping[str, Grants], waiting: Mapping[str, Grants], first: str
+        self,
+        seq: int,
+        using: Mapping[str, Grants],
+        policy: SplitPolicy,
+        first: str,
+        offsets: Offsets | None = None,
     ) -> dict[str, Grants]:
         """Return new grants for all members, to be sent with message `seq`.
 
-        `using` and `waiting` hold each member's amounts by team; what is left of a limit goes to `first`.
+        `using` holds each member's amounts by team; what the policy leaves of a limit goes to `first`.
         """
+        moved = offsets or {}
         grants: dict[str, Grants] = {member: dict(self.current(member)) for member in self._sent}
         for team, limit in self._limits.items():
+            used = {member: using.get(member, {}).get(team, NOTHING) for member in self._sent}
+            targets = _within(limit, policy.targets(team, limit, used))
+            most = {member: self.most(member, team, moved) for member in self._sent}
             sides = [
-                self._side(
+                _raise_safely(
                     limit[side],
-                    {m: using.get(m, {}).get(team, NOTHING)[side] for m in self._sent},
-                    {m: waiting.get(m, {}).get(team, NOTHING)[side] for m in self._sent},
-                    {m: self.current(m).get(team, NOTHING)[side] for m in self._sent},
-                    {m: max(g.get(team, NOTHING)[side] for _, g in self._sent[m]) for m in self._sent},
+                    {member: one[side] for member, one in targets.items()},
+                    {member: one[side] for member, one in most.items()},
+                    {member: one[side] for member, one in used.items()},
                     first,
                 )
                 for side in (0, 1)
             ]
             for member in self._sent:
-                grants[member][team] = (sides[0][member], sides[1][member])
+                shift = moved.get(member, {}).get(team, NOTHING)
+                grants[member][team] = Amounts(
+                    _grant(limit[0], sides[0][member], shift[0]), _grant(limit[1], sides[1][member], shift[1])
+                )
         for member, new in grants.items():
             if new != self.current(member):
                 self._sent[member].append((seq, new))
         return grants
 
-    @staticmethod
-    def _side(
-        limit: float,
-        using: dict[str, float],
-        waiting: dict[str, float],
-        now: dict[str, float],
-        most: dict[str, float],
-        first: str,
-    ) -> dict[str, float]:
-        if limit == NO_LIMIT:
-            return dict.fromkeys(using, NO_LIMIT)
-        spare = max(0.0, limit - sum(using.values()))
-        wanted = sum(waiting.values())
-        share = min(1.0, spare / wanted) if wanted > 0 else 0.0
-        target = {member: using[member] + waiting[member] * share for member in using}
-        target[first] += max(0.0, limit - sum(target.values()))
-        free = limit - sum(max(most[member], using[member]) for member in using)
-        new = {}
-        for member in sorted(using, key=lambda name: (name == first, name)):
-            raised = min(target[member], max(most[member], using[member]) + max(free, 0.0))
-            free -= max(0.0, raised - max(most[member], using[member]))
-            new[member] = raised
-        return new
+
+def _within(limit: Amounts, targets: Mapping[str, Amounts]) -> dict[str, Amounts]:
+    """Return the targets, lowered to the limit together where the use alone is above it, as after the limit fell."""
+    total = Amounts(sum(one.cores for one in targets.values()), sum(one.cards for one in targets.values()))
+    return {
+        member: Amounts(
+            *(
+                one * most // whole if whole > most else one
+                for one, most, whole in zip(target, limit, total, strict=True)
+            )
+        )
+        for member, target in targets.items()
+    }
+
+
+def _grant(limit: int, share: int, shift: int) -> int:
+    """Return the grant that amounts to a share, for a member whose transfers have moved it away by `shift`."""
+    return NO_LIMIT if limit == NO_LIMIT else share - shift
+
+
+def _raise_safely(
+    limit: int, targets: Mapping[str, int], most: Mapping[str, int], used: Mapping[str, int], first: str
+) -> dict[str, int]:
+    """Return new shares of one resource: lowered at once, raised only by what nobody can hold.
+
+    Until it has acknowledged a lower share, a member may hold the most that it was granted, or what it uses. When that
+    is more than the limit together, some of it is from before a transfer that we know of already: then no share is
+    raised, not even to what its member was said to use.
+    """
+    held = {member: max(most[member], used[member]) for member in targets}
+    wanted = dict(targets)
+    wanted[first] += max(0, limit - sum(wanted.values()))
+    free = limit - sum(held.values())
+    if free < 0:
+        return {member: min(wanted[member], most[member]) for member in wanted}
+    new = {}
+    for member in sorted(wanted, key=lambda name: (name == first, name)):
+        raised = min(wanted[member], held[member] + free)
+        free -= max(0, raised - held[member])
+        new[member] = raised
+    return new
--- a/src/ramptide/app.py
+++ b/src/ramptide/app.py
@@ -3,12 +3,12 @@
 import logging
 from collections import Counter
 from datetime import timedelta
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
 from ramptide import wire
-from ramptide.allowances import Grants, limited
+from ramptide.amounts import Grants, guarantee_of, team_limits
 from ramptide.announcements import TokenAnnouncer
 from ramptide.cloud import Cloud
 from ramptide.commits import CommitBatcher
@@ -27,10 +27,12 @@
 from ramptide.machine_status import MachineStatus
 from ramptide.membership import LIFE, VIEW, Membership, View, owner_of
 from ramptide.mirror import Mirror
+from ramptide.parts import Parts
 from ramptide.peers import Peers
 from ramptide.records import (
     FLAVORS_KEY,
     JOB_PREFIX,
+    LIMIT_PREFIX,
     RENTAL_PREFIX,
     SETTINGS_KEY,
     JobRecord,
@@ -46,6 +48,9 @@
 from ramptide.telemetry import Telemetry
 from ramptide.workers import Reports
 
+if TYPE_CHECKING:
+    from ramptide.quota.exchange import QuotaExchange
+
 log = logging.getLogger(__name__)
 
 ZERO = timedelta(0)
@@ -74,7 +79,7 @@
 class Controller:
     """One member of the service: it owns the parts, routes events to them and runs the decision rounds."""
 
-    def __init__(self, context: Runtime, settings: wire.Settings, incarnation: str) -> None:
+    def __init__(self, context: Runtime, settings: wire.Settings, incarnation: str, parts: Parts | None = None) -> None:
         self.context = context
         self.settings = settings
         cluster = settings.cluster
@@ -88,7 +93,9 @@
         self.cancel_within = timedelta(seconds=cluster.workers.cancel_s)
         self.prove_within = self.cancel_within * PROVE_WITHIN
         self.teams = {team.name: team for team in cluster.teams}
-        self.guarantees = {team.name: (team.cpus, team.gpus) for team in cluster.teams if team.cpus or team.gpus}
+        #: The limits of the teams that have one.
+        self.limits = team_limits(cluster.teams)
+        self.guarantees = {team.name: guarantee_of(team) for team in cluster.teams if team.cpus or team.gpus}
         # Classes whose starts people wait for, as the platform's objectives say.
         self.prompt = {one.job_class for one in cluster.objectives if one.kind == "wait" and one.job_class is not None}
         self.tuning = Tuning()
@@ -104,7 +111,10 @@
         self.view: View | None = None
         self.view_at = ZERO
         self.latched = False
+        #: What this controller may use of each limit: what the leader granted, changed by what members passed on.
         self.grants: Grants = {}
+        self._granted: Grants = {}
+        self.quota: QuotaExchange | None = None
         self.others_heard: dict[str, timedelta] = {}
         self._lingering_since: dict[tuple[str, str], timedelta] = {}
         self._answerable: dict[str, timedelta] = {}
@@ -161,6 +171,15 @@
             self.telemetry,
         )
         self.leader = Leader(self)
+        if parts is not None:
+            self._add_parts(parts)
+
+    def _add_parts(self, parts: Parts) -> None:
+        """Set up the parts that are switched on; what is off is not even imported."""
+        if parts.quota.enabled:
+            from ramptide.quota.exchange import QuotaExchange
+
+            self.quota = QuotaExchange(self)
 
     def start(self) -> None:
         """Start to follow the state service, apply for membership and begin the rounds."""
@@ -266,6 +285,9 @@
             self._on_job(path[len(JOB_PREFIX) :], value, stamp)
         elif path.startswith(RENTAL_PREFIX):
             self._on_rental(path[len(RENTAL_PREFIX) :], value)
+        elif path.startswith(LIMIT_PREFIX):
+            if self.quota is not None:
+                self.quota.limits.on_change(path, value)
         elif path == FLAVORS_KEY:
             self._take_flavors(value)
         elif path == SETTINGS_KEY:
@@ -423,6 +445,15 @@
             owner = self._owners[host] = owner_of(host, self.view.members)
         return owner
 
+    def take_grants(self, grants: Grants) -> None:
+        """Act on the leader's split from now on."""
+        self._granted = grants
+        self.refresh_shares()
+
+    def refresh_shares(self) -> None:
+        """Work out again what we may use, after a new split or a transfer."""
+        self.grants = self.quota.permits(self._granted) if self.quota is not None else self._granted
+
     def fresh_members(self) -> set[str]:
         """Return the members that were heard recently, this one included.
 
@@ -475,7 +506,7 @@
         self.view = view
         self.view_at = self.context.now
         self.latched = False
-        self.grants = {}
+        self.grants, self._granted = {}, {}
         self.others_heard.clear()
         self._owners.clear()
         self.peers.new_view()
@@ -486,6 +517,8 @@
         self.floor.new_view()
         mine = view.members.get(self.member) == self.membership.incarnation
         self.syncing.new_view(view if mine else None)
+        if self.quota is not None:
+            self.quota.new_view(view if mine else None)
         self._count_witnesses(view)
         if not mine:
             self.part = self.home = None
@@ -593,6 +626,8 @@
             self.starter.place(home, now)
             self.evictor.preempt(home, now)
             self.handover.hand_over(home, now)
+        if self.quota is not None:
+            self.quota.review(home, now)
         self.syncing.mark(home, part, changed)
         self.reports.answer_held(now)
         self.results.flush(home, now)
@@ -677,7 +712,7 @@
         """Tell whether the job's tasks may be started: none can be on a machine without our knowledge."""
         assert self.view is not None and self.part is not None
         record = work.job.record
-        if not self.latched and (record.born != self.view.number or limited(self.teams.get(record.run.team))):
+        if not self.latched and (record.born != self.view.number or record.run.team in self.limits):
             return False
         hand = record.hand
         if hand is None or hand.view != self.view.number or hand.member == self.member:
--- a/src/ramptide/attempts.py
+++ b/src/ramptide/attempts.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 
 from ramptide import wire
-from ramptide.allowances import Amounts, add_amounts
+from ramptide.amounts import Amounts, Grants, add_amounts, amounts_of
 from ramptide.task_state import FINISHED, NO_TIME, DesiredState, Phase, TaskKey
 
 
@@ -47,7 +47,7 @@
         #: Attempts that their owners do not show; each is either on its way there or gone.
         self.unshown: dict[TaskKey, Attempt] = {}
         #: What each team's attempts hold.
-        self.usage: dict[str, Amounts] = {}
+        self.usage: Grants = {}
 
     def of_job(self, ref: str) -> list[Attempt]:
         """Return the attempts of a job, as a list that stays while they are added and removed."""
@@ -77,7 +77,7 @@
         if counts is not attempt.counted:
             attempt.counted = counts
             sign = 1 if counts else -1
-            add_amounts(self.usage, attempt.run.team, attempt.run.cores * sign, attempt.run.cards * sign)
+            add_amounts(self.usage, attempt.run.team, amounts_of(attempt.run).times(sign))
 
 
 def sum_amounts(attempts: Iterable[Attempt]) -> dict[str, Amounts]:
@@ -85,5 +85,5 @@
     total: dict[str, Amounts] = {}
     for attempt in attempts:
         if attempt.phase not in FINISHED:
-            add_amounts(total, attempt.run.team, attempt.run.cores, attempt.run.cards)
+            add_amounts(total, attempt.run.team, amounts_of(attempt.run))
     return total
--- a/src/ramptide/cli.py
+++ b/src/ramptide/cli.py
@@ -12,17 +12,24 @@
 from typing import Any
 
 from ramptide import __version__, settings
-from ramptide.admin import METRICS_PATH, SETTINGS_PATH, STATUS_PATH
+from ramptide.admin import METRICS_PATH, QUOTA_PATH, SETTINGS_PATH, STATUS_PATH
 from ramptide.context import JSON, Reply
 from ramptide.http.address import parse_address
 from ramptide.http.client import Client
 from ramptide.loop import Loop
+from ramptide.parts import load_parts
 
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 ADMIN_TIMEOUT = timedelta(seconds=10)
 EXIT_FAILURE = 1
 EXIT_USAGE_ERROR = 2
-ADMIN_PATHS = {"settings": SETTINGS_PATH, "set": SETTINGS_PATH, "status": STATUS_PATH, "metrics": METRICS_PATH}
+ADMIN_PATHS = {
+    "settings": SETTINGS_PATH,
+    "set": SETTINGS_PATH,
+    "status": STATUS_PATH,
+    "metrics": METRICS_PATH,
+    "quota": QUOTA_PATH,
+}
 
 
 class ChangeSyntaxError(ValueError):
@@ -34,6 +41,7 @@
     top = argparse.ArgumentParser(prog="ramptide", description="Rents machines and runs users' jobs on them.")
     top.add_argument("--version", action="version", version=f"ramptide {__version__}")
     top.add_argument("--config", metavar="PATH", type=Path, help="run a controller with this settings file")
+    top.add_argument("--parts", metavar="PATH", type=Path, help="the file that switches parts of the service on")
     commands = top.add_subparsers(dest="command", title="commands")
     commands.add_parser("compile", help="compile the modules of a controller, so that it starts sooner")
     admin = commands.add_parser("admin", help="talk to a running controller's administration API")
@@ -44,6 +52,17 @@
     change.add_argument("changes", nargs="+", metavar="NAME=VALUE")
     verbs.add_parser("status", help="show the view, machines, jobs and counts")
     verbs.add_parser("metrics", help="show the metrics in the Prometheus text format")
+    limits = verbs.add_parser("quota", help="show the team limits, or change a team's on every controller")
+    limits.add_argument("team", nargs="?", help="the team to change")
+    limits.add_argument(
+        "changes", nargs="*", metavar="FIELD=VALUE", help="cpus, cpus_max, gpus or gpus_max; or removed=true"
+    )
+    limits.add_argument("--reset", action="store_true", help="go back to the platform's limit of the team")
+    quota = commands.add_parser("quota", help="team limits")
+    plan = quota.add_subparsers(dest="verb", required=True, title="verbs").add_parser(
+        "plan", help="tell whether limits and guarantees can hold on a fleet"
+    )
+    plan.add_argument("file", type=Path, help="a TOML file of machines and teams")
     return top
 
 
@@ -59,23 +78,28 @@
     options = top.parse_args(arguments)
     if options.command == "admin":
         return _administer(options)
+    if options.command == "quota":
+        return _plan(options.file)
     if options.command == "compile":
         return _compile()
     if options.config is None:
-        top.error("one of --config and the commands compile and admin is needed")
-    return _run_controller(options.config)
+        top.error("one of --config and the commands compile, admin and quota is needed")
+    return _run_controller(options.config, options.parts)
 
 
 def _compile() -> int:
     """Import all that a controller uses: the interpreter keeps the bytecode of what it imports."""
     import_module("ramptide.service")
     import_module("ramptide.metrics")
+    import_module("ramptide.quota.operators")
+    import_module("ramptide.quota.planner")
     return 0
 
 
-def _run_controller(path: Path) -> int:
+def _run_controller(path: Path, parts_path: Path | None) -> int:
     try:
         loaded = settings.load(path)
+        parts = load_parts(parts_path) if parts_path is not None else None
     except settings.SettingsError as error:
         return _fail(str(error), EXIT_USAGE_ERROR)
     level = os.environ.get("LOG_LEVEL", "info")
@@ -88,7 +112,7 @@
     from ramptide.service import Service
 
     try:
-        service = Service(loaded)
+        service = Service(loaded, parts)
     except OSError as error:
         return _fail(f"cannot listen: {error}")
     service.run()
@@ -100,17 +124,15 @@
         parse_address(options.address)
     except ValueError as error:
         return _fail(f"--address: {error}", EXIT_USAGE_ERROR)
-    method, body = "GET", b""
-    if options.verb == "set":
-        try:
-            changes = _parse_changes(options.changes)
-        except ChangeSyntaxError as error:
-            return _fail(str(error), EXIT_USAGE_ERROR)
-        method, body = "PATCH", json.dumps(changes).encode()
+    try:
+        changes = _changes_of(options)
+    except ChangeSyntaxError as error:
+        return _fail(str(error), EXIT_USAGE_ERROR)
+    method, body = ("GET", b"") if changes is None else ("PATCH", json.dumps(changes).encode())
     reply = _call(options.address, method, ADMIN_PATHS[options.verb], body)
     if reply is None:
         return _fail(f"{options.address} does not answer")
-    succeeded = reply.status == HTTPStatus.OK
+    succeeded = reply.status in (HTTPStatus.OK, HTTPStatus.ACCEPTED)
     text = reply.body.decode("utf-8", "replace")
     if options.verb != "metrics" and succeeded:
         text = json.dumps(json.loads(text), indent=2)
@@ -118,6 +140,30 @@
     return 0 if succeeded else EXIT_FAILURE
 
 
+def _changes_of(options: argparse.Namespace) -> dict[str, Any] | None:
+    """Return the changes that the command asks for; None where it only shows something."""
+    if options.verb == "set":
+        return _parse_changes(options.changes)
+    if options.verb != "quota" or options.team is None:
+        return None
+    if bool(options.changes) is options.reset:
+        raise ChangeSyntaxError(f"{options.team}: either some FIELD=VALUE or --reset")
+    return {options.team: None if options.reset else _parse_changes(options.changes)}
+
+
+def _plan(path: Path) -> int:
+    """Tell what a plan file comes to; 0 when all limits and guarantees can hold."""
+    # Needed by this command alone; its solver is not installed with the service.
+    from ramptide.quota.planner import PlanError, plan
+
+    try:
+        report = plan(path)
+    except PlanError as error:
+        return _fail(str(error), EXIT_USAGE_ERROR)
+    print("\n".join(report.lines()))
+    return 0 if report.holds else EXIT_FAILURE
+
+
 def _parse_changes(arguments: list[str]) -> dict[str, Any]:
     """Parse NAME=VALUE pairs whose values are JSON."""
     changes = {}
@@ -126,7 +172,7 @@
         try:
             changes[name] = json.loads(value)
         except ValueError as error:
-            raise ChangeSyntaxError(f"{argument}: not NAME=VALUE with a number") from error
+            raise ChangeSyntaxError(f"{argument}: not NAME=VALUE with a JSON value") from error
     return changes
 
 
--- a/src/ramptide/demand.py
+++ b/src/ramptide/demand.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from ramptide import wire
-from ramptide.allowances import NOTHING, Amounts, add_amounts, limits_of
+from ramptide.amounts import NO_LIMIT, NOTHING, Amounts, add_amounts, amounts_of, use_from_wire
 from ramptide.fleet import Demand, Machine
 from ramptide.floor import SILENT, UNTOLD, Host
 from ramptide.job_scheduler import JobScheduler
@@ -17,6 +17,7 @@
     from ramptide.app import Controller
 
 ZERO = timedelta(0)
+NO_LIMITS = Amounts(NO_LIMIT, NO_LIMIT)
 #: So many silent machines are returned at once rather than that a new view waits for the end of their leases.
 FEW, FEW_SHARE = 3, 0.05
 #: The last ones may be fewer, as they may be healthy, and are waited for so many report intervals.
@@ -35,8 +36,8 @@
         assert c.home is not None
         using = c.home.usage()
         for said in c.peers.messages():
-            for team, (cores, cards) in said.using.items():
-                add_amounts(using, team, cores, cards)
+            for team, amounts in use_from_wire(said.using).items():
+                add_amounts(using, team, amounts)
         return using
 
     def waiting_rows(self, home: JobScheduler, now: timedelta) -> list[WaitingRow]:
@@ -57,8 +58,8 @@
         asking: dict[str, Amounts] = {}
         for work in home.with_pending_tasks.values():
             if work.retry_at <= self._c.context.now:
-                run, tasks = work.job.run, work.startable
-                add_amounts(asking, run.team, run.cores * tasks, run.cards * tasks)
+                run = work.job.run
+                add_amounts(asking, run.team, amounts_of(run).times(work.startable))
         return asking
 
     def demands(self) -> list[Demand]:
@@ -79,11 +80,10 @@
         demands = []
         for job, row, placed in found:
             run = job.run
-            owner = c.teams.get(run.team)
-            most = limits_of(owner) if owner is not None else NOTHING
+            most = c.limits.get(run.team, NO_LIMITS)
             tasks = min(row[1], c.starter.headroom(run, using.get(run.team, NOTHING), most))
             if tasks > 0:
-                add_amounts(using, run.team, run.cores * tasks, run.cards * tasks)
+                add_amounts(using, run.team, amounts_of(run).times(tasks))
                 demands.append(Demand(run, tasks, timedelta(seconds=row[2]), Counter(placed), frozenset(row[3])))
         return demands
 
--- a/src/ramptide/desk.py
+++ b/src/ramptide/desk.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from ramptide import wire
-from ramptide.allowances import limits_of
+from ramptide.amounts import amounts_of, limits_of
 from ramptide.commits import CommitBatcher
 from ramptide.jobs import Job
 from ramptide.membership import Membership
@@ -127,8 +127,8 @@
         if not can_ever_run(run, self._flavors.values()):
             return "no allowed machine takes a task of this job"
         tasks = run.pieces if run.shape == wire.SERVICE else 1
-        cores, cards = limits_of(team)
-        if run.cores * tasks > cores + 1e-6 or run.cards * tasks > cards + 1e-6:
+        limit, needed = limits_of(team), amounts_of(run).times(tasks)
+        if needed[0] > limit[0] or needed[1] > limit[1]:
             return f"the job needs more than the limit of team {run.team!r}"
         return None
 
--- a/src/ramptide/evictions.py
+++ b/src/ramptide/evictions.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from ramptide import wire
-from ramptide.allowances import NOTHING, Amounts, add_amounts
+from ramptide.amounts import NOTHING, Amounts, add_amounts, amounts_of
 from ramptide.job_scheduler import JobScheduler
 from ramptide.job_state import JobState
 from ramptide.placement import Room, admits, needs
@@ -154,9 +154,9 @@
             self.evict(*victim.key, timedelta(seconds=grace))
             tasks.remove(victim)
             room.take(victim.run, -1)
-            add_amounts(using, victim.run.team, -victim.run.cores, -victim.run.cards)
+            add_amounts(using, victim.run.team, amounts_of(victim.run).times(-1))
         room.take(run)
-        add_amounts(using, run.team, run.cores, run.cards)
+        add_amounts(using, run.team, amounts_of(run))
         self._c.counters["preemptions"] += len(going)
 
     def evict(self, ref: str, task: int, number: int, grace: timedelta) -> None:
--- a/src/ramptide/handover.py
+++ b/src/ramptide/handover.py
@@ -39,11 +39,15 @@
         assert view is not None
         if c.membership.leading or view.leader not in c.fresh_members():
             return
+        held = home.usage_with_transfers()
         for work in list(home.with_pending_tasks.values()):
             if self._moving >= c.store.limits.txn_ops:
                 return
             waited = work.waiting_since is not None and now - work.waiting_since > c.tuning.hand_over
-            if waited and not work.frozen and work.retry_at <= now and c.ready(work):
+            if not waited or work.frozen or work.retry_at > now or not c.ready(work):
+                continue
+            # Share comes to where a job waits, so one that waits for share only need not move.
+            if c.quota is None or not c.quota.waits_for_limit(work, held):
                 self._hand_over_job(work, view, home)
 
     def _hand_over_job(self, work: JobState, view: View, home: JobScheduler) -> None:
--- a/src/ramptide/http/client.py
+++ b/src/ramptide/http/client.py
@@ -27,6 +27,7 @@
     """Carries one request at a time to one address; idle connections wait in the client's pool."""
 
     def __init__(self, client: "Client", address: str) -> None:
+        host_and_port = parse_address(address)
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         disable_nagle(sock)
@@ -37,7 +38,7 @@
         self.done: ResponseCallback | None = None
         self.timer: Timer | None = None
         self.connected = False
-        code = sock.connect_ex(parse_address(address))
+        code = sock.connect_ex(host_and_port)
         if code not in (0, errno.EINPROGRESS, errno.EWOULDBLOCK):
             raise OSError(code, "connect failed")
         self.loop.watch(sock, selectors.EVENT_WRITE, self.on_ready)
@@ -145,7 +146,8 @@
             else:
                 connection = _ClientConnection(self, address)
                 self.open_connections += 1
-        except OSError as error:
+        except (OSError, ValueError) as error:
+            # A worker may have told an address that is none.
             log.debug("call to %s: %s", address, error)
             self.loop.after(FAILED_CALL_DELAY, lambda: done(None))
             return
--- a/src/ramptide/job_scheduler.py
+++ b/src/ramptide/job_scheduler.py
@@ -6,7 +6,7 @@
 from datetime import timedelta
 
 from ramptide import wire
-from ramptide.allowances import Amounts, add_amounts
+from ramptide.amounts import Amounts, add_amounts
 from ramptide.attempts import Attempt, AttemptIndex, sum_amounts
 from ramptide.job_state import JobState
 from ramptide.jobs import Job
@@ -328,6 +328,6 @@
         """Return both together: what our allowance has to cover."""
         total = self.usage()
         for attempts in self.in_transfer.values():
-            for team, (cores, cards) in sum_amounts(attempts).items():
-                add_amounts(total, team, cores, cards)
+            for team, amounts in sum_amounts(attempts).items():
+                add_amounts(total, team, amounts)
         return total
--- /dev/null
+++ b/src/ramptide/parts.py
@@ -0,0 +1,40 @@
+"""The file that switches parts of the service on, read once when the process starts."""
+
+import tomllib
+from pathlib import Path
+
+import msgspec
+
+from ramptide.settings import SettingsError
+
+
+class QuotaPart(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Team limits across controllers (`ramptide.quota`)."""
+
+    enabled: bool
+
+
+class Parts(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """All parts that can be switched on; without a file all of them are off."""
+
+    quota: QuotaPart
+
+
+def load_parts(path: Path) -> Parts:
+    """Read and check the file.
+
+    Raises
+    ------
+    SettingsError
+        If it cannot be read, or a field is unknown, missing or wrong; the message is one line that names it.
+    """
+    try:
+        value = tomllib.loads(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise SettingsError(f"{path}: {error}") from error
+    try:
+        return msgspec.convert(value, Parts)
+    except msgspec.ValidationError as error:
+        raise SettingsError(f"{path}: {error}") from error
--- a/src/ramptide/peers.py
+++ b/src/ramptide/peers.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
-from typing import Annotated
+from typing import Annotated, Any
 
 import cbor2
 import msgspec
@@ -75,6 +75,8 @@
     #: For how many seconds a task of a job that is over may have been on a silent machine.
     unproven: dict[str, Amount] = {}
     evict: list[tuple[str, Count, Count, Amount]] = []
+    #: A message of the quota part, which checks it; None where that part is off.
+    quota: Any = None
 
 
 class Answer(msgspec.Struct):
--- a/src/ramptide/preemption.py
+++ b/src/ramptide/preemption.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass
 
 from ramptide import wire
-from ramptide.allowances import NOTHING, Amounts
-from ramptide.placement import ROUNDING, Room, admits, zone_room
+from ramptide.amounts import NOTHING, Amounts, amounts_of
+from ramptide.placement import Room, admits, zone_room
 from ramptide.task_state import TaskKey
 
 #: Far above what other tasks cost: a replica is stopped last, as people wait for its answers.
@@ -43,16 +43,20 @@
         return True
     if victim.team == run.team or run.team not in guarantees:
         return False
-    cores, cards = using.get(run.team, NOTHING)
-    guaranteed_cores, guaranteed_cards = guarantees[run.team]
-    if cores + run.cores > guaranteed_cores + ROUNDING or cards + run.cards > guaranteed_cards + ROUNDING:
+    if not within_guarantee(run, using, guarantees):
         return False
-    victim_cores, victim_cards = using.get(victim.team, NOTHING)
-    guaranteed_cores, guaranteed_cards = guarantees.get(victim.team, NOTHING)
-    return (
-        victim_cores - victim.cores >= guaranteed_cores - ROUNDING
-        and victim_cards - victim.cards >= guaranteed_cards - ROUNDING
-    )
+    used, going = using.get(victim.team, NOTHING), amounts_of(victim)
+    kept = guarantees.get(victim.team, NOTHING)
+    return used[0] - going[0] >= kept[0] and used[1] - going[1] >= kept[1]
+
+
+def within_guarantee(run: wire.Run, using: Mapping[str, Amounts], guarantees: Mapping[str, Amounts]) -> bool:
+    """Tell whether one more task of the job keeps its team within its guarantee."""
+    guaranteed = guarantees.get(run.team)
+    if guaranteed is None:
+        return False
+    used, task = using.get(run.team, NOTHING), amounts_of(run)
+    return used[0] + task[0] <= guaranteed[0] and used[1] + task[1] <= guaranteed[1]
 
 
 def victims(
--- /dev/null
+++ b/src/ramptide/quota/exchange.py
@@ -0,0 +1,263 @@
+"""Passes spare share of team limits on to members that are short of it, beside the leader's split."""
+
+import logging
+from collections import Counter
+from collections.abc import Mapping
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from ramptide.amounts import NO_LIMIT, NOTHING, Amounts, Grants, amounts_of, tasks_within
+from ramptide.delta import ChangeLog
+from ramptide.job_scheduler import JobScheduler
+from ramptide.membership import View
+from ramptide.peers import Peer, Sync
+from ramptide.preemption import within_guarantee
+from ramptide.quota.fitting import FittingSplit
+from ramptide.quota.ledger import AccountBook, Ledger
+from ramptide.quota.limit_table import LimitTable
+from ramptide.quota.messages import VERSION, Demands, QuotaMessage, QuotaMessageError, TaskDemand, decode
+from ramptide.quota.share_waits import ShareWaits
+
+if TYPE_CHECKING:
+    from ramptide.app import Controller
+    from ramptide.job_state import JobState
+    from ramptide.wire import Run
+
+log = logging.getLogger(__name__)
+
+AT_ONCE = timedelta(0)
+#: So many sizes of waiting tasks of a team are told, the most numerous first; others are told once those run.
+SIZES_TOLD = 8
+
+
+class QuotaExchange:
+    """The quota part of one controller: its ledger, what it is short of, and what it gives."""
+
+    def __init__(self, controller: "Controller") -> None:
+        self._c = controller
+        self.limits = LimitTable(controller)
+        self.waits = ShareWaits()
+        self.counters: Counter[str] = Counter()
+        self._view: View | None = None
+        self._ledger = Ledger((), {})
+        self._book = AccountBook()
+        #: Teams whose account changed, for messages to the leader.
+        self._changed: ChangeLog[str] = ChangeLog()
+        #: The last message of each other member of this view.
+        self._said: dict[str, QuotaMessage] = {}
+        self._waiting: Demands = {}
+        self._short: Demands = {}
+        self._team_use: Grants = {}
+
+    def new_view(self, view: View | None) -> None:
+        """Start with an empty ledger; `view` is None when we have no place in it."""
+        self._view = view
+        others = [name for name in view.members if name != self._c.member] if view is not None else []
+        self._ledger = Ledger(others, self._c.limits)
+        self._book = AccountBook()
+        self._changed = ChangeLog()
+        self._said = {}
+        self._waiting, self._short = {}, {}
+        self.waits.forget()
+
+    # What the rest of the controller asks.
+
+    def permits(self, granted: Grants) -> Grants:
+        """Return what we may use of each limit, given what the leader grants."""
+        return {team: self._ledger.permit(team, amounts) for team, amounts in granted.items()}
+
+    def missing(self) -> list[str]:
+        """Return the other members that have not said in this view that this part is on there."""
+        return [name for name in self._members() if name not in self._said]
+
+    @property
+    def ready(self) -> bool:
+        """Whether every member of the view takes part: else the leader could not count what was passed on."""
+        return self._view is not None and not self.missing()
+
+    def offsets(self) -> Mapping[str, Grants]:
+        """Return by how much transfers have moved each member's share, as the leader knows."""
+        return self._book.offsets()
+
+    def split_policy(self) -> FittingSplit | None:
+        """Return the leader's split in whole tasks; None while some member does not tell the sizes of its tasks."""
+        if not self.ready:
+            return None
+        waiting = {name: said.waiting for name, said in self._said.items()}
+        return FittingSplit(waiting | {self._c.member: self._waiting})
+
+    def within_guarantee(self, run: "Run") -> bool:
+        """Tell whether a task more of the job lies within its team's guarantee, over all controllers."""
+        return within_guarantee(run, self._team_use, self._c.guarantees)
+
+    def waits_for_limit(self, work: "JobState", using: Grants) -> bool:
+        """Tell whether it is the share of its team's limit, and not room, that keeps a job from starting."""
+        run = work.job.run
+        share = self._c.grants.get(run.team, NOTHING)
+        return self._c.starter.headroom(run, using.get(run.team, NOTHING), share) == 0
+
+    # The round.
+
+    def review(self, home: JobScheduler, now: timedelta) -> None:
+        """Work out what waits and what we are short of, pass on what others are short of, and ask for ours."""
+        c = self._c
+        self.limits.review()
+        held = home.usage_with_transfers()
+        self._team_use = c.knowledge.team_use() if c.guarantees or home.with_pending_tasks else {}
+        self._waiting = self._demands(home, now)
+        before, self._short = self._short, self._shortfall(held)
+        self.waits.review(self._waiting_for_share(home, held, now), now)
+        if not c.latched or not self.ready:
+            return
+        for name in self._said:
+            self._give_to(name, held)
+        if any(team not in before for team in self._short):
+            for name in self._members():
+                c.peers.hurry(c.peers.all[name], AT_ONCE)
+
+    def _members(self) -> list[str]:
+        return [name for name in self._view.members if name != self._c.member] if self._view is not None else []
+
+    def _demands(self, home: JobScheduler, now: timedelta) -> Demands:
+        """Return our waiting tasks of teams with a limit, by size, no more of each than the limit allows at all."""
+        counts: dict[str, Counter[Amounts]] = {}
+        for work in home.with_pending_tasks.values():
+            run = work.job.run
+            if run.team in self._c.limits and work.retry_at <= now and not work.frozen:
+                counts.setdefault(run.team, Counter())[amounts_of(run)] += work.startable
+        return {team: found for team, sizes in counts.items() if (found := self._told(team, sizes))}
+
+    def _told(self, team: str, sizes: Counter[Amounts]) -> list[TaskDemand]:
+        found = []
+        for size, count in sizes.most_common(SIZES_TOLD):
+            fits = tasks_within(self._c.limits[team], size)
+            tasks = count if fits is None else min(count, fits)
+            if tasks > 0:
+                found.append(TaskDemand(size.cores, size.cards, tasks))
+        return found
+
+    def _shortfall(self, held: Grants) -> Demands:
+        """Return the waiting tasks that our share does not cover."""
+        short: Demands = {}
+        for team, demands in self._waiting.items():
+            left = self._left(team, held)
+            for demand in demands:
+                fits = tasks_within(left, demand.size)
+                covered = demand.count if fits is None else min(fits, demand.count)
+                left = _less(left, demand.size.times(covered))
+                if covered < demand.count:
+                    short.setdefault(team, []).append(
+                        TaskDemand(demand.cores, demand.cards, demand.count - covered),
+                    )
+        return short
+
+    def _left(self, team: str, held: Grants) -> Amounts:
+        """Return what of our share is not used."""
+        return _less(self._c.grants.get(team, NOTHING), held.get(team, NOTHING))
+
+    def _waiting_for_share(self, home: JobScheduler, held: Grants, now: timedelta) -> set[str]:
+        """Return the jobs of which no task starts for want of share, although their team's limit has room for one."""
+        found = set()
+        for work in home.with_pending_tasks.values():
+            run = work.job.run
+            if run.team not in self._short or work.retry_at > now or not work.startable:
+                continue
+            room = _less(self._c.limits[run.team], self._team_use.get(run.team, NOTHING))
+            if tasks_within(room, amounts_of(run)) and self.waits_for_limit(work, held):
+                found.add(work.job.ref)
+        return found
+
+    # Giving and taking.
+
+    def _give_to(self, receiver: str, held: Grants) -> None:
+        """Pass on what a member is short of and we neither use nor need, in sizes of its tasks."""
+        for team, demands in self._said[receiver].short.items():
+            if team not in self._c.grants or self._ledger.awaits(receiver, team):
+                # What it said may be from before it took what is under way.
+                continue
+            spare = self._left(team, held)
+            for own in self._waiting.get(team, ()):
+                spare = _less(spare, own.size.times(own.count))
+            given = _whole_tasks(demands, spare, self._c.limits[team])
+            if any(given):
+                self._ledger.give(receiver, team, given, spare)
+                self.counters["given"] += 1
+                self._balance_changed([team])
+                self._c.peers.hurry(self._c.peers.all[receiver], AT_ONCE)
+
+    def _balance_changed(self, teams: list[str]) -> None:
+        home = self._c.home
+        assert home is not None
+        for team in teams:
+            self._changed.mark(team, home.seq + 1)
+        self._book.take(self._c.member, self._ledger.account_rows(teams))
+        self._c.refresh_shares()
+
+    def message_for(self, peer: Peer) -> QuotaMessage | None:
+        """Return what to tell another controller; None when it is not a member of our view."""
+        view = self._view
+        if view is None or peer.name not in view.members:
+            return None
+        leads = peer.name == view.leader
+        return QuotaMessage(
+            version=VERSION,
+            view=view.number,
+            sender=self._c.member,
+            incarnation=self._c.membership.incarnation,
+            receiver=peer.name,
+            confirmed=self._ledger.last_taken(peer.name),
+            transfers=self._ledger.offered(peer.name),
+            short=self._short,
+            waiting=self._waiting if leads else {},
+            accounts=self._ledger.account_rows(self._changed.since(peer.taken)) if leads else [],
+        )
+
+    def take(self, sync: Sync, home: JobScheduler) -> None:
+        """Take what another member tells; what can't be taken is refused as a whole, counted and logged."""
+        if sync.quota is None:
+            return
+        try:
+            said = decode(sync.quota)
+            self._check_sender(said, sync)
+            confirmed = self._ledger.confirm(said.sender, said.confirmed)
+            taken = self._ledger.take(said.sender, said.transfers)
+        except QuotaMessageError as error:
+            self.counters["refused"] += 1
+            log.error("a message of %s about team limits is refused: %s", sync.member, error)
+            return
+        self._said[said.sender] = said
+        self._book.take(said.sender, said.accounts)
+        if confirmed or taken:
+            home.needs_round = True
+        if taken:
+            self.counters["taken"] += len(taken)
+            self._balance_changed([row.team for row in taken])
+
+    def _check_sender(self, said: QuotaMessage, sync: Sync) -> None:
+        view = self._view
+        if view is None or said.view != view.number:
+            raise QuotaMessageError(f"it is of view {said.view}")
+        if said.sender != sync.member or view.members.get(said.sender) != said.incarnation:
+            raise QuotaMessageError(f"{said.sender} as {said.incarnation} is no member of view {view.number}")
+        if said.sender == self._c.member or said.receiver != self._c.member:
+            raise QuotaMessageError(f"it is of {said.sender} for {said.receiver}")
+
+    # For operators.
+
+    def in_transfer(self, team: str) -> Amounts:
+        """Return what we have deducted for others and nobody counts yet."""
+        return self._ledger.in_transfer(team)
+
+
+def _less(amounts: Amounts, taken: Amounts) -> Amounts:
+    return Amounts(amounts.cores - taken.cores, amounts.cards - taken.cards)
+
+
+def _whole_tasks(demands: list[TaskDemand], spare: Amounts, limit: Amounts) -> Amounts:
+    """Return what the tasks take that find share in what is spare."""
+    given = NOTHING
+    for demand in demands:
+        fits = tasks_within(_less(spare, given), demand.size)
+        more = demand.size.times(min(fits or 0, demand.count))
+        given = Amounts(given.cores + more.cores, given.cards + more.cards)
+    return Amounts(*(0 if most == NO_LIMIT else one for one, most in zip(given, limit, strict=True)))
--- /dev/null
+++ b/src/ramptide/quota/fitting.py
@@ -0,0 +1,78 @@
+"""The leader's split of a team's limit in sizes that fit the waiting tasks, both resources together. Pure."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from ramptide.amounts import NOTHING, Amounts, tasks_within
+from ramptide.quota.messages import Demands, TaskDemand
+
+#: What the count of waiting tasks is taken for where the limit does not bound them.
+MANY = 10**9
+
+
+@dataclass(slots=True)
+class _Portion:
+    """What one member gets for its waiting tasks of one size."""
+
+    member: str
+    demand: TaskDemand
+    tasks: int = 0
+
+
+class FittingSplit:
+    """Gives each member what it uses, and share for whole tasks of what waits, in proportion and then while any fits.
+
+    A split in proportion alone leaves each member with a fraction in which no task fits.
+    """
+
+    def __init__(self, waiting: Mapping[str, Demands]) -> None:
+        self._waiting = waiting
+
+    def targets(self, team: str, limit: Amounts, using: Mapping[str, Amounts]) -> dict[str, Amounts]:
+        """Return what each member should have, given what each uses."""
+        left = Amounts(
+            max(0, limit.cores - sum(used.cores for used in using.values())),
+            max(0, limit.cards - sum(used.cards for used in using.values())),
+        )
+        portions = [
+            _Portion(member, demand)
+            for member in sorted(using)
+            for demand in self._waiting.get(member, {}).get(team, ())
+            if demand.count
+        ]
+        left = _in_proportion(portions, left)
+        _while_any_fits(portions, left)
+        targets = dict(using)
+        for portion in portions:
+            more, before = portion.demand.size.times(portion.tasks), targets[portion.member]
+            targets[portion.member] = Amounts(before.cores + more.cores, before.cards + more.cards)
+        return targets
+
+
+def _take(portion: _Portion, tasks: int, left: Amounts) -> Amounts:
+    portion.tasks += tasks
+    taken = portion.demand.size.times(tasks)
+    return Amounts(left.cores - taken.cores, left.cards - taken.cards)
+
+
+def _in_proportion(portions: list[_Portion], left: Amounts) -> Amounts:
+    """Give each demand the same part of its tasks, rounded down, and return what is left."""
+    wanted = NOTHING
+    for portion in portions:
+        more = portion.demand.size.times(portion.demand.count)
+        wanted = Amounts(wanted.cores + more.cores, wanted.cards + more.cards)
+    # The resource that is shorter decides; a part is numerator by denominator, as whole numbers.
+    parts = [(free, need) for free, need in zip(left, wanted, strict=True) if need > free]
+    numerator, denominator = min(parts, key=lambda part: part[0] / part[1], default=(1, 1))
+    for portion in portions:
+        left = _take(portion, portion.demand.count * numerator // denominator, left)
+    return left
+
+
+def _while_any_fits(portions: list[_Portion], left: Amounts) -> None:
+    """Give what is left to whole tasks, the largest first, as these fit in the least places."""
+    for portion in sorted(portions, key=lambda one: (-one.demand.cards, -one.demand.cores, one.member)):
+        fits = tasks_within(left, portion.demand.size)
+        tasks = min(MANY if fits is None else fits, portion.demand.count - portion.tasks)
+        if tasks > 0:
+            left = _take(portion, tasks, left)
--- a/src/ramptide/records.py
+++ b/src/ramptide/records.py
@@ -14,6 +14,7 @@
 RENTAL_PREFIX = "live/rental/"
 FLAVORS_KEY = "live/flavors"
 SETTINGS_KEY = "live/settings"
+LIMIT_PREFIX = "live/quota/"
 
 #: How far beyond the lowest task that is not done a task may start; it bounds the size of a job's record.
 PROGRESS_WINDOW = 8192
--- a/src/ramptide/service.py
+++ b/src/ramptide/service.py
@@ -15,6 +15,7 @@
 from ramptide.http.client import Client
 from ramptide.http.server import Exchange, Server
 from ramptide.loop import Loop, Timer
+from ramptide.parts import Parts
 from ramptide.process_statistics import Work
 from ramptide.telemetry import Route
 
@@ -105,11 +106,11 @@
 class Service:
     """One controller with its servers for clients (users and workers) and for peers (controllers and operators)."""
 
-    def __init__(self, settings: wire.Settings) -> None:
+    def __init__(self, settings: wire.Settings, parts: Parts | None = None) -> None:
         self.loop = Loop()
         limits = _ConnectionLimits.for_cluster(settings.cluster)
         runtime = LoopRuntime(self.loop, Client(self.loop, limits.outbound))
-        self.controller = Controller(runtime, settings, secrets.token_hex(INCARNATION_BYTES))
+        self.controller = Controller(runtime, settings, secrets.token_hex(INCARNATION_BYTES), parts)
         self._measure = self.loop.statistics.measure
         self.admin = Admin(self.controller, self.loop.statistics)
         self.client_server = Server(
--- a/src/ramptide/starts.py
+++ b/src/ramptide/starts.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 from ramptide import wire
-from ramptide.allowances import NO_LIMIT, NOTHING, Amounts, add_amounts, limited
+from ramptide.amounts import NOTHING, Amounts, add_amounts, amounts_of, tasks_within
 from ramptide.job_scheduler import JobScheduler
 from ramptide.job_state import JobState
 from ramptide.jobs import Job
@@ -121,7 +121,9 @@
     def urgency_of(self, job: Job, idle: timedelta, wall: datetime) -> tuple[Any, ...]:
         """Return the sort key of a job that has been idle for so long, the most urgent lowest."""
         tuning = self._c.tuning
-        return urgency(job, idle, wall, self._c.prompt, tuning.patience, tuning.begin_within)
+        quota = self._c.quota
+        guaranteed = quota is not None and quota.within_guarantee(job.run)
+        return urgency(job, idle, wall, self._c.prompt, tuning.patience, tuning.begin_within, guaranteed)
 
     def _reach(self, work: JobState, now: timedelta, wall: datetime) -> Reach:
         """Return which of the room kept for services the job may use.
@@ -170,7 +172,7 @@
             short = before - work.waiting < allowed
         started = before - work.waiting
         if started:
-            add_amounts(using, run.team, run.cores * started, run.cards * started)
+            add_amounts(using, run.team, amounts_of(run).times(started))
             self._c.counters["starts"] += started
         return short
 
@@ -210,14 +212,10 @@
 
     def headroom(self, run: wire.Run, using: Amounts, most: Amounts) -> int:
         """Return how many more tasks of the job its team may run within `most`, given what it uses."""
-        if not limited(self._c.teams.get(run.team)):
+        if run.team not in self._c.limits:
             return MANY
-        counts = [
-            math.floor((limit - used + 1e-6) / each)
-            for limit, used, each in ((most[0], using[0], run.cores), (most[1], using[1], run.cards))
-            if each > 0 and limit != NO_LIMIT
-        ]
-        return max(0, min(counts)) if counts else MANY
+        tasks = tasks_within(Amounts(most[0] - using[0], most[1] - using[1]), amounts_of(run))
+        return MANY if tasks is None else tasks
 
     def clear_machines(self, home: JobScheduler) -> None:
         """Stop tasks on machines that are drained or about to be reclaimed."""
--- a/src/ramptide/syncing.py
+++ b/src/ramptide/syncing.py
@@ -8,9 +8,10 @@
 import cbor2
 import msgspec
 
-from ramptide.allowances import Allowances, Grants, add_amounts
+from ramptide.amounts import grants_from_wire, grants_to_wire
 from ramptide.delta import ChangeLog
 from ramptide.job_scheduler import JobScheduler
+from ramptide.limit_split import LimitSplit
 from ramptide.machine_status import MachineStatus
 from ramptide.membership import View
 from ramptide.owned_machine import OwnedMachine
@@ -28,8 +29,6 @@
 CANCELLED_KEPT = timedelta(seconds=60)
 #: For those that wait for nothing of ours: they need to know that we are there, and roughly what room there is.
 CALM = timedelta(seconds=2)
-#: The split of the team limits is worked out anew so often at most.
-DIVIDE_EVERY = timedelta(milliseconds=150)
 PRUNE_EVERY = 200
 #: Machines that one message tells of, and that share one number. The whole table of thousands of machines would take
 #: longer to encode, send and read than a message may take, and would be sent again and again.
@@ -42,16 +41,12 @@
 
     def __init__(self, controller: "Controller") -> None:
         self._c = controller
-        self.allowances: Allowances | None = None
+        self.limit_split = LimitSplit(controller)
         self.grants_ack = 0
         self._rows: ChangeLog[str] = ChangeLog()
         self._wishes: dict[str, ChangeLog[str]] = {}
         #: The number from which on what was removed is forgotten. Several numbers may be used up at a time.
         self._prune_at = PRUNE_EVERY
-        # The last split, and what it takes as taken over by us: always told together.
-        self._granted: dict[str, Grants] = {}
-        self._took: list[str] = []
-        self._divided_at = timedelta(0)
         self._cancelled: deque[tuple[timedelta, str]] = deque()
 
     def new_view(self, view: View | None) -> None:
@@ -61,8 +56,7 @@
         self._rows = ChangeLog()
         self._wishes = {name: ChangeLog() for name in c.peers.all}
         self._prune_at = PRUNE_EVERY
-        self._granted, self._took = {}, []
-        self.allowances = Allowances(c.teams, sorted(view.members)) if view is not None else None
+        self.limit_split.new_view(view)
 
     def cancelled(self, ref: str) -> None:
         """Tell the others directly of a confirmed cancellation, in case the state service fails now."""
@@ -126,16 +120,18 @@
         if sync.more:
             return
         self.acknowledge(home, sync.member, sync.acks.get(c.member, 0))
-        if self.allowances is not None and sync.grants_ack:
-            self.allowances.acknowledged(sync.member, sync.grants_ack)
+        self.limit_split.acknowledged(sync.member, sync.grants_ack)
         c.floor.recall(sync.unproven, now)
+        if c.quota is not None:
+            c.quota.take(sync, home)
 
     def _follow_leader(self, sync: Sync, home: JobScheduler) -> None:
         c = self._c
         c.floor.keep_pool(sync.pool)
         if sync.grants is not None:
             # Both at once: the new grants leave out what the leader took over.
-            c.grants, self.grants_ack = sync.grants, sync.seq
+            c.take_grants(grants_from_wire(sync.grants))
+            self.grants_ack = sync.seq
             for ref in sync.took:
                 home.transfer_confirmed(ref)
         for ref, task, number, grace in sync.evict:
@@ -225,9 +221,7 @@
         c = self._c
         view = c.view
         assert view is not None
-        if c.membership.leading and now - self._divided_at >= DIVIDE_EVERY:
-            self._divided_at = now
-            self._update_grants(home, view)
+        self.limit_split.update(home, view, now)
         due = c.peers.due()
         if not due:
             return
@@ -243,29 +237,22 @@
                 c.peers.send(peer, _part_of(base, split, changes), AT_ONCE)
                 continue
             first = peer.name == view.leader
+            granted = self.limit_split.granted(peer.name)
             sync = msgspec.structs.replace(
                 base,
                 base=changes.base,
                 status=changes.status,
                 wishes=changes.wishes,
-                grants=self._granted.get(peer.name),
-                asking=c.knowledge.asking(home) if first else {},
+                grants=grants_to_wire(granted) if granted is not None else None,
+                asking=grants_to_wire(c.knowledge.asking(home)) if first else {},
                 waiting=c.knowledge.waiting_rows(home, now) if first else [],
                 strangers=part.unrecorded_machines() if first else {},
                 unproven=unproven,
+                quota=c.quota.message_for(peer) if c.quota is not None else None,
             )
             calm = c.latched and not c.mirror.lacking and not first
             c.peers.send(peer, sync, CALM if calm else EVERY)
 
-    def _update_grants(self, home: JobScheduler, view: View) -> None:
-        """As leader, split the team limits anew; controllers whose share changes hear at once."""
-        c = self._c
-        self._took = self._taken(home, view)
-        before, self._granted = self._granted, self._divide(home, self._took)
-        for name, new in self._granted.items():
-            if name in c.peers.all and new != before.get(name):
-                c.peers.hurry(c.peers.all[name], AT_ONCE)
-
     def _forget_old(self, part: Shard, now: timedelta) -> None:
         seq = self._c.home.seq if self._c.home is not None else 0
         if seq >= self._prune_at:
@@ -288,10 +275,10 @@
             wire=WIRE,
             latched=c.latched,
             acks=part.acks,
-            using=home.usage(),
-            limbo=home.amounts_in_transfer(),
+            using=grants_to_wire(home.usage()),
+            limbo={ref: grants_to_wire(amounts) for ref, amounts in home.amounts_in_transfer().items()},
             grants_ack=self.grants_ack,
-            took=self._took,
+            took=self.limit_split.took,
             pool=c.floor.pool if leads else [],
             evict=[(*key, one.grace) for key, one in c.evictor.evictions.items()] if leads else [],
             cancelled=[ref for _, ref in self._cancelled],
@@ -318,45 +305,6 @@
             lacks, epoch = c.mirror.lacking, c.mirror.epoch
             c.peers.send(peer, Sync(c.member, c.membership.incarnation, 0, 0, lacks, epoch, WIRE))
 
-    def _taken(self, home: JobScheduler, view: View) -> list[str]:
-        """Return jobs that were handed over to us and whose tasks we count now.
-
-        Only those that their former scheduler's last message shows as handed over: in an older message it counts them
-        among its own, and the grant sent with this would cover them twice.
-        """
-        found = []
-        for work in home.jobs.values():
-            hand = work.job.record.hand
-            if hand is not None and hand.view == view.number:
-                said = self._c.peers.said(hand.member)
-                if said is not None and work.job.ref in said.limbo and self._c.ready(work):
-                    found.append(work.job.ref)
-        return found
-
-    def _divide(self, home: JobScheduler, took: list[str]) -> dict[str, Grants]:
-        """Return the leader's split of the team limits; empty until every member has all information."""
-        c = self._c
-        view = c.view
-        assert view is not None and self.allowances is not None
-        if not c.membership.leading or not c.latched:
-            return {}
-        using, asking = {c.member: home.usage()}, {c.member: c.knowledge.asking(home)}
-        for member in view.members:
-            if member == c.member:
-                continue
-            said = c.peers.said(member)
-            if said is None or not said.latched:
-                return {}
-            using[member], asking[member] = dict(said.using), said.asking
-            for ref, amounts in said.limbo.items():
-                for team, (cores, cards) in amounts.items() if ref not in took else ():
-                    add_amounts(using[member], team, cores, cards)
-        # Told with the messages from the next one on: none that bears its number has left yet.
-        grants = self.allowances.divide(home.seq + 1, using, asking, c.member)
-        self.allowances.acknowledged(c.member, home.seq + 1)
-        c.grants = grants[c.member]
-        return grants
-
     def strangers(self) -> dict[str, tuple[str, str, bool]]:
         """Return type, zone and kind (spot or not) of machines that report and are not in the fleet record."""
         c = self._c
--- a/src/ramptide/team_usage.py
+++ b/src/ramptide/team_usage.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from ramptide.allowances import NO_LIMIT, NOTHING, Amounts, Grants, add_amounts, limits_of
+from ramptide.amounts import NO_LIMIT, NOTHING, Amounts, Grants, add_amounts, amounts_of, limits_of, to_number
 from ramptide.job_scheduler import JobScheduler
 
 if TYPE_CHECKING:
@@ -60,11 +60,11 @@
     def resource(side: int) -> ResourceUsage:
         limited = limit[side] != NO_LIMIT
         return ResourceUsage(
-            limit=limit[side] if limited else None,
-            used=totals.used.get(team, NOTHING)[side],
-            share=share[side] if limited else None,
-            share_used=totals.share_used.get(team, NOTHING)[side],
-            waiting_for_limit=totals.waiting.get(team, NOTHING)[side],
+            limit=to_number(limit[side]) if limited else None,
+            used=to_number(totals.used.get(team, NOTHING)[side]),
+            share=to_number(share[side]) if limited else None,
+            share_used=to_number(totals.share_used.get(team, NOTHING)[side]),
+            waiting_for_limit=to_number(totals.waiting.get(team, NOTHING)[side]),
         )
 
     return TeamUsage(cores=resource(0), gpus=resource(1))
@@ -80,5 +80,5 @@
             continue
         share = controller.grants.get(run.team, NOTHING)
         if controller.starter.headroom(run, held.get(run.team, NOTHING), share) == 0:
-            add_amounts(waiting, run.team, run.cores * work.startable, run.cards * work.startable)
+            add_amounts(waiting, run.team, amounts_of(run).times(work.startable))
     return waiting
--- a/src/ramptide/urgency.py
+++ b/src/ramptide/urgency.py
@@ -48,17 +48,20 @@
     prompt: Container[str],
     patience: timedelta,
     begin_within: timedelta,
+    within_guarantee: bool = False,
 ) -> tuple[Any, ...]:
     """Return the sort key of a job, the most urgent lowest.
 
     Jobs of which nothing was started for `begin_within` come first, whatever their priority, with one task each: a
-    steady flow of more urgent work would keep them waiting for good. Then priority goes first, then the classes that
-    are to start promptly, then what can still be made, each by its deadline, then the order of submission.
+    steady flow of more urgent work would keep them waiting for good. Then priority goes first, then what a team may run
+    within its guarantee where that is told, then the classes that are to start promptly, then what can still be made,
+    each by its deadline, then the order of submission.
     """
     run = job.run
     return (
         idle <= begin_within,
         -wire.RANKS.index(run.rank),
+        not within_guarantee,
         run.job_class not in prompt,
         run.shape != wire.SERVICE,
         chance(job, idle, now, patience),
--- /dev/null
+++ b/tests/test_loopback_quota.py
@@ -0,0 +1,97 @@
+"""Team limits on real processes: racing submissions at all controllers, frozen, killed and restarted ones among them.
+
+The workers' own records judge. Nothing is said of speed, so that a busy machine gives the same verdict.
+"""
+
+import json
+import random
+from collections import Counter
+from collections.abc import Iterator
+from datetime import timedelta
+from pathlib import Path
+
+import pytest
+from loopback import ROOT, LoopWorld
+from world import S
+
+from ramptide.context import JSON
+
+TEAMS = {"red": 20.0, "green": 14.0, "blue": 9.0}
+BURSTS = 120
+JOBS_A_BURST = 6
+JOBS = BURSTS * JOBS_A_BURST
+#: Every submission is sent to all controllers at once.
+SUBMISSIONS = 3 * JOBS
+FLOOD_S = 48.0
+#: Longer than a controller's lease in the state service; and so short that it keeps its place.
+LONG_FREEZE_S, SHORT_FREEZE_S = 6.0, 1.0
+SHORT_FREEZES = 16
+
+
+@pytest.fixture
+def world(tmp_path: Path) -> Iterator[LoopWorld]:
+    world = LoopWorld(tmp_path, teams=TEAMS, capacity=14, parts=ROOT / "deploy" / "parts.toml")
+    world.log_level = "error"
+    world.limits = world.limits | {"rps": 2000.0, "write_rps": 1000.0}
+    for name in world.names:
+        world.start(name)
+    yield world
+    world.close()
+
+
+def race(world: LoopWorld, rng: random.Random) -> Counter[str]:
+    """Plans the submissions, in bursts of one team; each is repeated until some controller has accepted it.
+
+    Between the bursts of a team its share lies spare somewhere, so it is passed on again and again.
+    """
+    counts: Counter[str] = Counter()
+    for burst in range(BURSTS):
+        team, at = rng.choice(list(TEAMS)), rng.uniform(0, FLOOD_S)
+        for number in range(JOBS_A_BURST):
+            ref = f"j-{burst * JOBS_A_BURST + number}"
+            world.submit(
+                ref, owner=team, pieces=rng.choice([1, 1, 2]), cores=rng.choice([0.5, 1.0, 1.5]), ramGb=1.0,
+                guessS=rng.choice([0.1, 0.3]),
+            )  # fmt: skip
+            world.after((at + rng.uniform(0, 0.2)) * S, lambda ref=ref: send(world, ref, counts))  # type: ignore[misc]
+    return counts
+
+
+def freeze_for(world: LoopWorld, name: str, begin: float, seconds: float) -> None:
+    world.after(begin * S, lambda: world.freeze(name))
+    world.after((begin + seconds) * S, lambda: world.resume(name))
+
+
+def send(world: LoopWorld, ref: str, counts: Counter[str]) -> None:
+    if ref in world.accepted_jobs:
+        return
+    body = json.dumps(world.jobs[ref]).encode()
+
+    def done(reply: object) -> None:
+        if reply is not None and reply.status in (200, 201):  # type: ignore[attr-defined]
+            world.accepted_jobs.add(ref)
+            counts["accepted"] += 1
+
+    for name in world.names:
+        counts["sent"] += 1
+        world.client.call(world.users(name), "POST", "/v2/runs", body, JSON, timedelta(seconds=5), done)
+    world.after(3 * S, lambda: send(world, ref, counts))
+
+
+def test_racing_submissions_never_pass_a_limit_while_controllers_freeze_and_end(world: LoopWorld) -> None:
+    assert world.until(lambda: all(world.healthy(name) for name in world.names), 60)
+    rng = random.Random(1)
+    counts = race(world, rng)
+    for number in range(SHORT_FREEZES):
+        freeze_for(world, rng.choice(world.names), 1.0 + number * 1.4, SHORT_FREEZE_S)
+    for begin, name in ((26.0, "c0"), (34.0, "c1"), (42.0, "c2")):
+        freeze_for(world, name, begin, LONG_FREEZE_S)
+    world.after(37 * S, lambda: world.kill("c2"))
+    world.after(38 * S, lambda: world.start("c2"))
+    assert world.until(lambda: len(world.accepted_jobs) == JOBS, 120)
+    assert world.until(lambda: all(world.done(ref) for ref in world.jobs), 180)
+    assert world.rules.broken == []
+    assert counts["sent"] >= SUBMISSIONS and world.rules.starts >= JOBS
+    given = [line for name in world.names for line in world.metrics(name).splitlines() if 'outcome="given"' in line]
+    assert sum(float(line.split()[-1]) for line in given) > 0
+    assert all(process.poll() is None for process in world.processes.values())
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -14,6 +14,7 @@
 from ramptide.app import Controller
 from ramptide.floor import Floor, Host
 from ramptide.job_scheduler import JobScheduler
+from ramptide.limit_split import LimitSplit
 from ramptide.membership import View
 from ramptide.mirror import Mirror
 from ramptide.peers import Peer, Peers, Sync
@@ -379,10 +380,10 @@
 
 
 def test_when_it_counts_before_its_team_uses_its_limit_twice(monkeypatch: pytest.MonkeyPatch) -> None:
-    def taken(syncing: Syncing, home: JobScheduler, view: View) -> list[str]:
-        return [w.job.ref for w in home.jobs.values() if w.job.record.hand is not None and syncing._c.ready(w)]
+    def taken(split: LimitSplit, home: JobScheduler, view: View) -> list[str]:
+        return [w.job.ref for w in home.jobs.values() if w.job.record.hand is not None and split._c.ready(w)]
 
-    monkeypatch.setattr(Syncing, "_taken", taken)
+    monkeypatch.setattr(LimitSplit, "_taken_over", taken)
     world = few_world()
     handed_over_at_the_limit(world)
     assert any("quota" in rule for rule in world.rules.broken)
--- a/tests/test_models.py
+++ b/tests/test_models.py
@@ -12,7 +12,8 @@
 from world import S, job
 
 from ramptide import wire
-from ramptide.allowances import Allowances
+from ramptide.allowances import Allowances, ProportionalSplit
+from ramptide.amounts import UNITS, Amounts
 from ramptide.fleet import Demand, Fleet, Machine, Trigger
 from ramptide.job_state import JobState
 from ramptide.jobs import Job
@@ -66,28 +67,29 @@
 
 
 MEMBERS = ["a", "b", "c"]
-LIMIT = 20.0
+LIMIT = 20 * UNITS
+LIMITS = {"t": Amounts(LIMIT, 0)}
 
 
 @settings(derandomize=True, max_examples=200, deadline=None)
 @given(st.lists(st.tuples(st.sampled_from(MEMBERS), st.sampled_from(["ask", "start", "end", "deliver", "ack"]))))
 def test_no_two_members_overstep_a_limit_together(events: list[tuple[str, str]]) -> None:
     """Grants and acknowledgements are delivered when the history says so; members start all they may."""
-    leader = Allowances({"t": wire.Team("t", cpus_max=LIMIT)}, MEMBERS)
-    held = dict.fromkeys(MEMBERS, 0.0)
-    using = dict.fromkeys(MEMBERS, 0.0)
-    waiting = dict.fromkeys(MEMBERS, 0.0)
+    leader = Allowances(LIMITS, MEMBERS)
+    held = dict.fromkeys(MEMBERS, 0)
+    using = dict.fromkeys(MEMBERS, 0)
+    waiting = dict.fromkeys(MEMBERS, 0)
     told = {member: (using[member], 0) for member in MEMBERS}
-    latest: dict[str, tuple[int, float]] = {member: (0, 0.0) for member in MEMBERS}
+    latest: dict[str, tuple[int, int]] = {member: (0, 0) for member in MEMBERS}
     seen = dict.fromkeys(MEMBERS, 0)
     for seq, (member, event) in enumerate(events, 1):
         if event == "ask":
-            waiting[member] += 7.0
-        elif event == "start" and held[member] - using[member] >= 1.0:
-            using[member] += 1.0
-            waiting[member] = max(0.0, waiting[member] - 1.0)
+            waiting[member] += 7 * UNITS
+        elif event == "start" and held[member] - using[member] >= UNITS:
+            using[member] += UNITS
+            waiting[member] = max(0, waiting[member] - UNITS)
         elif event == "end":
-            using[member] = max(0.0, using[member] - 1.0)
+            using[member] = max(0, using[member] - UNITS)
         elif event == "deliver":
             seen[member], held[member] = latest[member]
         elif event == "ack":
@@ -95,32 +97,33 @@
             leader.acknowledged(member, seen[member])
         grants = leader.divide(
             seq,
-            {m: {"t": (told[m][0], 0.0)} for m in MEMBERS},
-            {m: {"t": (waiting[m], 0.0)} for m in MEMBERS},
+            {m: {"t": Amounts(told[m][0], 0)} for m in MEMBERS},
+            ProportionalSplit({m: {"t": Amounts(waiting[m], 0)} for m in MEMBERS}),
             "a",
         )
         latest = {m: (seq, grants[m]["t"][0]) for m in MEMBERS}
         assert sum(using.values()) <= LIMIT
-        assert sum(max(held[m], using[m]) for m in MEMBERS) <= LIMIT + 1e-6
+        assert sum(max(held[m], using[m]) for m in MEMBERS) <= LIMIT
 
 
-def raised_while_the_old_grant_may_be_in_use(leader: Allowances) -> tuple[float, float]:
+def raised_while_the_old_grant_may_be_in_use(leader: Allowances) -> tuple[int, int]:
     """a may still act on the whole limit while b asks; what b gets before and after a says that it knows better."""
-    free, hungry = {m: {"t": (0.0, 0.0)} for m in MEMBERS}, {"t": (50.0, 0.0)}
-    assert leader.divide(1, free, {"a": hungry}, "a")["a"]["t"][0] == LIMIT
+    free, hungry = {m: {"t": Amounts(0, 0)} for m in MEMBERS}, {"t": Amounts(50 * UNITS, 0)}
+    asks = {member: ProportionalSplit({member: hungry}) for member in MEMBERS}
+    assert leader.divide(1, free, asks["a"], "a")["a"]["t"][0] == LIMIT
     leader.acknowledged("a", 1)
-    before = leader.divide(2, free, {"b": hungry}, "a")["b"]["t"][0]
+    before = leader.divide(2, free, asks["b"], "a")["b"]["t"][0]
     leader.acknowledged("a", 2)
-    return before, leader.divide(3, free, {"b": hungry}, "a")["b"]["t"][0]
+    return before, leader.divide(3, free, asks["b"], "a")["b"]["t"][0]
 
 
 def test_a_grant_is_raised_only_once_the_other_is_lowered_for_sure() -> None:
-    leader = Allowances({"t": wire.Team("t", cpus_max=LIMIT)}, MEMBERS)
-    assert raised_while_the_old_grant_may_be_in_use(leader) == (0.0, LIMIT)
+    leader = Allowances(LIMITS, MEMBERS)
+    assert raised_while_the_old_grant_may_be_in_use(leader) == (0, LIMIT)
 
 
 def test_without_that_guard_the_limit_is_given_twice(monkeypatch: pytest.MonkeyPatch) -> None:
-    leader = Allowances({"t": wire.Team("t", cpus_max=LIMIT)}, MEMBERS)
+    leader = Allowances(LIMITS, MEMBERS)
     divide = leader.divide
 
     def forgetful(seq: int, *rest: Any) -> Any:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -10,6 +10,7 @@
 from world import job
 
 from ramptide import wire
+from ramptide.amounts import UNITS, Amounts
 from ramptide.jobs import Job
 from ramptide.placement import Reach, Room, can_ever_run, choose, fill, may_use, zone_room
 from ramptide.preemption import RunningTask, may_claim, victims
@@ -140,16 +141,20 @@
     assert choose(run_of(shape="service"), [small, large], {}) is large, "opened for several"
 
 
+def cores(count: int) -> Amounts:
+    return Amounts(count * UNITS, 0)
+
+
 def test_who_gives_way() -> None:
-    guarantees = {"a": (8.0, 0.0), "b": (4.0, 0.0)}
+    guarantees = {"a": cores(8), "b": cores(4)}
     low, normal, high = (run_of(owner="b", rank=rank) for rank in ("low", "normal", "high"))
     mine = run_of(owner="a", cores=2.0)
-    using = {"a": (0.0, 0.0), "b": (4.0, 0.0)}
+    using = {"a": cores(0), "b": cores(4)}
     assert may_claim(mine, low, using, guarantees), "lower rank"
     assert not may_claim(mine, normal, using, guarantees), "b is within its own guarantee"
-    assert may_claim(mine, high, {"b": (6.0, 0.0)}, guarantees), "b has borrowed, whatever the rank"
-    assert not may_claim(mine, high, {"a": (7.0, 0.0), "b": (6.0, 0.0)}, guarantees), "beyond a's guarantee"
-    assert not may_claim(run_of(owner="b"), normal, {"b": (9.0, 0.0)}, guarantees), "the same team"
+    assert may_claim(mine, high, {"b": cores(6)}, guarantees), "b has borrowed, whatever the rank"
+    assert not may_claim(mine, high, {"a": cores(7), "b": cores(6)}, guarantees), "beyond a's guarantee"
+    assert not may_claim(run_of(owner="b"), normal, {"b": cores(9)}, guarantees), "the same team"
 
 
 def test_victims_are_few_and_cheap() -> None:
--- /dev/null
+++ b/tests/test_quota.py
@@ -0,0 +1,382 @@
+"""Team limits across whole controllers on the virtual clock: racing starts and transfers, and what may go wrong."""
+
+import json
+import random
+from collections.abc import Callable
+from typing import Any
+
+import cbor2
+import msgspec
+import pytest
+from world import S, World, leader, started
+
+from ramptide.amounts import UNITS, Amounts, add_amounts
+from ramptide.parts import Parts, QuotaPart
+from ramptide.quota.exchange import QuotaExchange
+from ramptide.quota.ledger import AccountBook, Ledger
+from ramptide.quota.messages import TransferRow
+
+ON = Parts(QuotaPart(True))
+LIMIT = 12.0
+TEAMS = {"tight": LIMIT, "other": 10.0, "third": 9.0, "fourth": 7.0}
+#: Of these many transfers come about.
+SEEDS = [1, 3, 6]
+
+
+def flood(seed: int, jobs: int = 60, seconds: float = 30.0, teams: dict[str, float] | None = None) -> World:
+    """Teams ask for more than their limits at all controllers at once; there is room enough for all."""
+    world = started(seed, teams=teams or TEAMS, capacity=12, parts=ON)
+    rng = random.Random(seed)
+    limited = list(world.teams)
+    for number in range(jobs):
+        cores = rng.choice([1.0, 2.0, 3.0, 0.7])
+        pieces = rng.randint(1, 6)
+        world.submit(
+            f"j-{number}", owner=rng.choice(limited), pieces=pieces, cores=cores, guessS=rng.choice([1.0, 3.0])
+        )
+        world.after(rng.uniform(0, seconds) * S, lambda ref=f"j-{number}": send(world, rng, ref))  # type: ignore[misc]
+    return world
+
+
+def send(world: World, rng: random.Random, ref: str) -> None:
+    """Asks one controller after another until one accepts."""
+    if ref in world.accepted_jobs:
+        return
+    body = json.dumps(world.jobs[ref]).encode()
+
+    def answered(status: int, *_: Any) -> None:
+        if status in (200, 201):
+            world.accepted_jobs.add(ref)
+
+    world.ask(rng.choice(world.names), lambda controller: controller.desk.submit(body, answered))
+    world.after(2 * S, lambda: send(world, rng, ref))
+
+
+def finish(world: World, seconds: float = 90.0) -> None:
+    """All jobs are done in the end, and no rule was broken at any moment."""
+    assert world.run_until(lambda: all(world.done(ref) for ref in world.jobs), seconds), [
+        ref for ref in world.jobs if not world.done(ref)
+    ]
+    assert world.rules.broken == []
+
+
+def counted(world: World, what: str) -> int:
+    return sum(
+        node.controller.quota.counters[what]
+        for node in world.nodes.values()
+        if node.controller is not None and node.controller.quota is not None
+    )
+
+
+# Troubles while share is passed on. Each is brought about in the moment in which a member gives some.
+
+Trouble = Callable[[World, str], None]
+
+
+def frozen(seconds: float) -> Trouble:
+    return lambda world, name: world.nodes[name].freeze(seconds)
+
+
+def paused_between(seconds: float) -> Trouble:
+    """The share is deducted, and nothing leaves the giver until it goes on."""
+
+    def begin(world: World, name: str) -> None:
+        world.isolate(name)
+        world.nodes[name].freeze(seconds)
+        world.after(seconds * S, world.heal)
+
+    return begin
+
+
+def restarted(world: World, name: str) -> None:
+    """It ends before anything has left it, and is back under the same name."""
+    world.isolate(name)
+    world.nodes[name].kill()
+    world.after(0.3 * S, world.heal)
+    world.after(0.3 * S, world.nodes[name].start)
+
+
+def receiver_restarted(world: World, name: str) -> None:
+    other = next(one for one in world.names if one != name)
+    world.nodes[other].kill()
+    world.after(0.3 * S, world.nodes[other].start)
+
+
+def leader_ends(world: World, name: str) -> None:
+    """The leader changes in the middle of a split."""
+    old = leader(world)
+    world.nodes[old].kill()
+    world.after(4 * S, world.nodes[old].start)
+
+
+def cut_from_peers(world: World, name: str) -> None:
+    for other in world.names:
+        if other != name:
+            world.cut(name, other)
+    world.after(10 * S, world.heal)
+
+
+def cut_from_state(world: World, name: str) -> None:
+    world.state.refuses.add(name)
+    world.after(10 * S, lambda: world.state.refuses.discard(name))
+
+
+def messages_lost_and_doubled(world: World, name: str) -> None:
+    world.loss, world.repeat = 0.2, 0.2
+    world.after(15 * S, lambda: setattr(world, "loss", 0.0))
+
+
+def state_service_down(world: World, name: str) -> None:
+    """For longer than `cancel_s`, with every team at its limit and jobs called off just before."""
+    world.state.outage(world.cancel_s + 5)
+
+
+def machine_hangs(world: World, name: str) -> None:
+    for worker in list(world.workers.values())[:2]:
+        worker.hang(12.0)
+
+
+TROUBLES: dict[str, Trouble] = {
+    "frozen for a moment": frozen(1.0),
+    "frozen past its lease": frozen(6.0),
+    "frozen past its workers' leases": frozen(14.0),
+    "paused between deduction and sending": paused_between(1.5),
+    "paused between, past a new view": paused_between(8.0),
+    "restarted": restarted,
+    "receiver restarted": receiver_restarted,
+    "leader ends": leader_ends,
+    "cut from its peers": cut_from_peers,
+    "cut from the state service": cut_from_state,
+    "messages lost and doubled": messages_lost_and_doubled,
+    "state service down": state_service_down,
+    "machines hang": machine_hangs,
+}
+
+
+def begin_at_transfer(world: World, monkeypatch: pytest.MonkeyPatch, trouble: Trouble, number: int) -> list[str]:
+    """The trouble begins with the transfer of this number; returned is the giver's name once it has."""
+    give, begun, count = Ledger.give, [], [0]
+
+    def giving(self: Ledger, *rest: Any) -> Any:
+        transfer = give(self, *rest)
+        count[0] += 1
+        if count[0] == number:
+            name = next(
+                name
+                for name, node in world.nodes.items()
+                if node.controller is not None and node.controller.quota is not None
+                and node.controller.quota._ledger is self
+            )  # fmt: skip
+            begun.append(name)
+            trouble(world, name)
+        return transfer
+
+    monkeypatch.setattr(Ledger, "give", giving)
+    return begun
+
+
+@pytest.mark.parametrize("seed", SEEDS[:2])
+@pytest.mark.parametrize("trouble", list(TROUBLES))
+def test_no_limit_is_passed_whatever_meets_a_transfer(trouble: str, seed: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    world = flood(seed)
+    begun = begin_at_transfer(world, monkeypatch, TROUBLES[trouble], 2 + seed)
+    world.run(60)
+    assert begun, "no share was passed on"
+    finish(world)
+
+
+def test_a_team_that_floods_all_controllers_gets_its_limit_and_no_more() -> None:
+    world = flood(4, jobs=30, teams={"tight": LIMIT})
+    finish(world, 180)
+    world.run(3)
+    assert counted(world, "given") > 5 and counted(world, "refused") == 0
+    quotas = [node.controller.quota for node in world.nodes.values() if node.controller is not None]
+    assert any(quota is not None and quota.waits.count for quota in quotas)
+    # What was passed on is all accounted for: together the members hold the limit again.
+    held = Amounts(0, 0)
+    for node in world.nodes.values():
+        assert node.controller is not None
+        share = node.controller.grants["tight"]
+        held = Amounts(held.cores + share.cores, held.cards)
+    assert held.cores == LIMIT * UNITS
+
+
+# What happens without the guards.
+
+
+def broken_without_a_guard() -> bool:
+    for seed in SEEDS:
+        world = flood(seed)
+        world.run(60)
+        if any("quota" in rule for rule in world.rules.broken):
+            return True
+    return False
+
+
+def test_without_deducting_first_a_limit_is_passed(monkeypatch: pytest.MonkeyPatch) -> None:
+    give = Ledger.give
+
+    def careless(self: Ledger, receiver: str, team: str, amounts: Amounts, spare: Amounts) -> Any:
+        transfer = give(self, receiver, team, amounts, spare)
+        add_amounts(self._balance, team, amounts)
+        return transfer
+
+    monkeypatch.setattr(Ledger, "give", careless)
+    assert broken_without_a_guard()
+
+
+def test_without_numbers_a_repeated_transfer_counts_twice(monkeypatch: pytest.MonkeyPatch) -> None:
+    def forgetful(self: Ledger, giver: str, rows: list[TransferRow]) -> list[TransferRow]:
+        for row in rows:
+            add_amounts(self._balance, row.team, row.amounts)
+            self._accounts[giver].last_taken = row.number
+        return list(rows)
+
+    monkeypatch.setattr(Ledger, "take", forgetful)
+    assert broken_without_a_guard()
+
+
+def test_without_the_leaders_account_book_a_limit_is_passed(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(AccountBook, "take", lambda self, member, rows: None)
+    assert broken_without_a_guard()
+
+
+# A task that is larger than any single share.
+
+
+def test_share_comes_together_for_a_task_that_is_larger_than_any_share() -> None:
+    world = started(3, teams={"tight": LIMIT}, capacity=12, parts=ON)
+    for number, name in enumerate(world.names):
+        world.submit(f"j-{number}", owner="tight", pieces=4, cores=1.0, guessS=4.0 + number)
+        assert world.accepted(f"j-{number}", name)
+    world.submit("j-9", owner="tight", pieces=1, cores=7.0, guessS=1.0)
+    assert world.accepted("j-9", "c1")
+    finish(world, 40)
+
+
+# Messages that can't be.
+
+
+def sync_of(world: World, name: str) -> Any:
+    """A message of another member to this one, as it was last taken."""
+    controller = world.nodes[name].controller
+    assert controller is not None
+    return next(peer.said for peer in controller.peers.all.values() if peer.said is not None)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"view": 99},
+        {"incarnation": "another"},
+        {"sender": "c9"},
+        {"receiver": "c9"},
+        {"version": 7},
+        {"transfers": [[1, "nobody", UNITS, 0]]},
+        {"transfers": [[1, "tight", -UNITS, 0]]},
+        {"transfers": [[1, "tight", 10**15, 0]]},
+        {"transfers": [[5, "tight", UNITS, 0]]},
+        {"transfers": [[1, "tight", UNITS, 0], [2, "tight", 0, 0]]},
+        {"transfers": "all"},
+        {"confirmed": 12},
+    ],
+    ids=str,
+)
+def test_transfers_that_cannot_be_change_nothing(change: dict[str, Any], caplog: pytest.LogCaptureFixture) -> None:
+    world = started(1, teams=TEAMS, parts=ON)
+    world.run(3)
+    controller = world.nodes["c0"].controller
+    assert controller is not None and controller.quota is not None and controller.home is not None
+    sync = sync_of(world, "c0")
+    good = late_message(world, {})
+    before = dict(controller.grants)
+    caplog.clear()
+    controller.quota.take(msgspec.structs.replace(sync, quota=good | change), controller.home)
+    assert controller.grants == before and controller.quota.counters["refused"] == 1
+    assert len([one for one in caplog.records if "refused" in one.message]) == 1
+    row = [1, "tight", UNITS, 0]
+    controller.quota.take(msgspec.structs.replace(sync, quota=good | {"transfers": [row]}), controller.home)
+    assert controller.grants["tight"].cores == before["tight"].cores + UNITS
+
+
+def test_without_the_check_of_the_view_a_late_transfer_counts(monkeypatch: pytest.MonkeyPatch) -> None:
+    late = {"view": 99, "transfers": [[1, "tight", UNITS, 0]]}
+    for guarded, gained in ((True, 0), (False, UNITS)):
+        if not guarded:
+            monkeypatch.setattr(QuotaExchange, "_check_sender", lambda self, said, sync: None)
+        world = started(1, teams=TEAMS, parts=ON)
+        world.run(3)
+        controller = world.nodes["c0"].controller
+        assert controller is not None and controller.quota is not None and controller.home is not None
+        before = controller.grants["tight"].cores
+        controller.quota.take(
+            msgspec.structs.replace(sync_of(world, "c0"), quota=late_message(world, late)), controller.home
+        )
+        assert controller.grants["tight"].cores - before == gained
+
+
+def late_message(world: World, change: dict[str, Any]) -> dict[str, Any]:
+    value: dict[str, Any] = msgspec.to_builtins(sync_of(world, "c0").quota)
+    return value | change
+
+
+# Beside controllers on which the part is off, or that are of an older build.
+
+
+def test_off_and_on_side_by_side_pass_no_limit_and_give_nothing() -> None:
+    world = started(4, teams=TEAMS, parts=ON)
+    world.parts = None
+    world.nodes["c1"].kill()
+    world.nodes["c1"].start()
+    rng = random.Random(4)
+    for number in range(30):
+        world.submit(f"j-{number}", owner="tight", pieces=3, cores=2.0, guessS=1.0)
+        world.after(rng.uniform(0, 10) * S, lambda ref=f"j-{number}": send(world, rng, ref))  # type: ignore[misc]
+    world.run(20)
+    assert counted(world, "given") == 0
+    # One after the other is switched on, while the work goes on.
+    world.parts = ON
+    for name in world.names:
+        world.nodes[name].kill()
+        world.run(0.3)
+        world.nodes[name].start()
+        world.run(5)
+    finish(world)
+
+
+def test_messages_of_an_older_build_are_taken_and_those_to_it_hold_what_it_knows() -> None:
+    world = started(1, teams=TEAMS, parts=ON)
+    world.run(3)
+    controller = world.nodes["c0"].controller
+    assert controller is not None and controller.quota is not None and controller.home is not None
+    sync = sync_of(world, "c0")
+    controller.quota.take(msgspec.structs.replace(sync, quota=None), controller.home)
+    assert controller.quota.counters["refused"] == 0
+    body = cbor2.loads(cbor2.dumps(msgspec.to_builtins(sync)))
+    assert {"member", "view", "seq", "wire"} <= body.keys() and body["wire"] == 5
+
+
+def test_off_the_part_is_not_imported() -> None:
+    world = started(1, teams=TEAMS)
+    assert all(node.controller is not None and node.controller.quota is None for node in world.nodes.values())
+    assert all(said.quota is None for said in world.nodes["c0"].controller.peers.messages())  # type: ignore[union-attr]
+
+
+# Guarantees.
+
+
+def test_a_team_below_its_guarantee_goes_before_one_above_its_own() -> None:
+    """Both wait at different controllers; the room that comes free goes to the one within its guarantee."""
+    world = World(6, teams={"rich": 40.0, "poor": 40.0}, capacity=3, parts=ON)
+    world.guarantees = {"rich": 2.0, "poor": 12.0}
+    for node in world.nodes.values():
+        node.start()
+    world.run(6)
+    world.submit("j-1", owner="rich", pieces=60, cores=2.0, guessS=2.0, dueS=20.0)
+    assert world.accepted("j-1", "c0")
+    world.run(15)
+    world.submit("j-2", owner="poor", pieces=6, cores=2.0, guessS=2.0)
+    assert world.accepted("j-2", "c1")
+    assert world.run_until(lambda: world.done("j-2"), 12)
+    assert not world.done("j-1")
+    assert world.rules.broken == []
--- a/tests/world.py
+++ b/tests/world.py
@@ -16,6 +16,7 @@
 
 from ramptide import wire
 from ramptide.app import Controller
+from ramptide.parts import Parts
 
 S = timedelta(seconds=1)
 MS = timedelta(milliseconds=1)
@@ -50,7 +51,14 @@
 
 
 class World:
-    def __init__(self, seed: int, teams: dict[str, float] | None = None, capacity: int = 12, members: int = 3) -> None:
+    def __init__(
+        self,
+        seed: int,
+        teams: dict[str, float] | None = None,
+        capacity: int = 12,
+        members: int = 3,
+        parts: Parts | None = None,
+    ) -> None:
         self.rng = random.Random(seed)
         self.now = timedelta(0)
         self._heap: list[tuple[timedelta, int, Callable[[], None]]] = []
@@ -71,6 +79,9 @@
         self.cancel_s = 20.0
         self.limits = {"rps": 300.0, "write_rps": 150.0, "value_kb": 16.0, "txn_ops": 12}
         self.teams = teams or {"team": 0.0}
+        self.guarantees: dict[str, float] = {}
+        #: The parts that are on at controllers that start from now on.
+        self.parts = parts
         self.state = StateService(self)
         self.cloud = CloudService(self, capacity)
         self.rules = Rules(self)
@@ -191,6 +202,10 @@
             return link.delay(self.rng, sender, self.now)
         return (1 + self.rng.random() * 4) * MS
 
+    def address_of(self, host: str) -> str:
+        """Where a worker takes direct commands."""
+        return host
+
     # Users.
 
     def submit(self, ref: str, **fields: Any) -> None:
@@ -385,7 +400,10 @@
                     "outside": {"cloud": CLOUD, "state": STATE},
                     "cluster": {
                         "nodes": len(names), "zones": ["a", "b"], "objectives": [],
-                        "teams": [{"name": n, "cpus_max": most} for n, most in self.world.teams.items()],
+                        "teams": [
+                            {"name": n, "cpus": self.world.guarantees.get(n, 0.0), "cpus_max": most}
+                            for n, most in self.world.teams.items()
+                        ],
                         "workers": {"report_s": 1.0, "lease_s": 8.0, "cancel_s": self.world.cancel_s},
                         "state": self.world.limits,
                         "cloud": {"rps": 20.0, "list_lag_s": 2.0},
@@ -394,7 +412,7 @@
                 }
             ).encode()
         )  # fmt: skip
-        self.controller = Controller(self._context, settings, f"{self.name}-{self._starts}")
+        self.controller = Controller(self._context, settings, f"{self.name}-{self._starts}", self.world.parts)
         self.controller.start()
 
     def kill(self) -> None:
@@ -681,7 +699,8 @@
     def _state(self, tenure: int) -> bytes:
         return json.dumps(
             {
-                "host": self.host, "addr": self.host, "rig": "m", "yard": self.yard, "loaners": self.spot,
+                "host": self.host, "addr": self.world.address_of(self.host), "rig": "m", "yard": self.yard,
+                "loaners": self.spot,
                 "tenure": tenure, "tally": self.tally, "baton": self.baton,
                 "pieces": [
                     {"piece": f"{t.ref}/{t.number}", "try": t.attempt, "status": t.status, "cause": t.cause}
