--- a/src/ramptide/allowances.py
+++ b/src/ramptide/allowances.py
@@ -1,7 +1,7 @@
 """Team limits, split among the controllers so that no two of them can overstep one together."""
 
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Hashable, Mapping
 from typing import Protocol
 
 from ramptide.amounts import NO_LIMIT, NOTHING, Amounts, Grants
@@ -15,6 +15,9 @@
     def targets(self, team: str, limit: Amounts, using: Mapping[str, Amounts]) -> dict[str, Amounts]:
         """Return what each member should have, given what each uses; together no more than the limit or the use."""
 
+    def basis(self, team: str) -> Hashable:
+        """Return all that the targets of a team rest on beside its limit and use."""
+
 
 class ProportionalSplit:
     """Gives each member what it uses, and of the rest as large a part as it has of all that waits."""
@@ -27,6 +30,10 @@
         sides = [self._side(team, side, limit[side], using) for side in (0, 1)]
         return {member: Amounts(sides[0][member], sides[1][member]) for member in using}
 
+    def basis(self, team: str) -> Hashable:
+        """Return what waits of the team, by member."""
+        return tuple((member, waiting[team]) for member, waiting in self._waiting.items() if team in waiting)
+
     def _side(self, team: str, side: int, limit: int, using: Mapping[str, Amounts]) -> dict[str, int]:
         spare = max(0, limit - sum(used[side] for used in using.values()))
         waiting = {member: self._waiting.get(member, {}).get(team, NOTHING)[side] for member in using}
@@ -49,6 +56,8 @@
     def __init__(self, limits: Mapping[str, Amounts], members: list[str]) -> None:
         self._limits = dict(limits)
         self._sent: dict[str, deque[tuple[int, Grants]]] = {member: deque([(0, {})]) for member in members}
+        #: What the last split of a team rested on, where it changed nothing: the same again needs no work.
+        self._settled: dict[str, Hashable] = {}
 
     def change_limits(self, limits: Mapping[str, Amounts]) -> None:
         """Split by these limits from now on; a team that is not named any more keeps what it was granted last."""
@@ -84,8 +93,13 @@
         """
         moved = offsets or {}
         grants: dict[str, Grants] = {member: dict(self.current(member)) for member in self._sent}
+        sent = tuple((len(grants), grants[0][0]) for grants in self._sent.values())
         for team, limit in self._limits.items():
             used = {member: using.get(member, {}).get(team, NOTHING) for member in self._sent}
+            shifts = tuple(moved.get(member, {}).get(team, NOTHING) for member in self._sent)
+            basis = (limit, tuple(used.values()), shifts, sent, policy.basis(team))
+            if self._settled.get(team) == basis:
+                continue
             targets = _within(limit, policy.targets(team, limit, used))
             most = {member: self.most(member, team, moved) for member in self._sent}
             sides = [
@@ -98,11 +112,16 @@
                 )
                 for side in (0, 1)
             ]
-            for member in self._sent:
-                shift = moved.get(member, {}).get(team, NOTHING)
-                grants[member][team] = Amounts(
+            new_grants = {
+                member: Amounts(
                     _grant(limit[0], sides[0][member], shift[0]), _grant(limit[1], sides[1][member], shift[1])
                 )
+                for member, shift in zip(self._sent, shifts, strict=True)
+            }
+            if all(grants[member].get(team) == one for member, one in new_grants.items()):
+                self._settled[team] = basis
+            for member, one in new_grants.items():
+                grants[member][team] = one
         for member, new in grants.items():
             if new != self.current(member):
                 self._sent[member].append((seq, new))
--- a/src/ramptide/demand.py
+++ b/src/ramptide/demand.py
@@ -40,6 +40,19 @@
                 add_amounts(using, team, amounts)
         return using
 
+    def use_of(self, teams: Iterable[str]) -> dict[str, Amounts]:
+        """Return what the attempts of all schedulers hold, for some teams only."""
+        c = self._c
+        assert c.home is not None
+        using: dict[str, Amounts] = {}
+        messages = c.peers.messages()
+        for team in teams:
+            using[team] = c.home.index.usage.get(team, NOTHING)
+            for said in messages:
+                if team in said.using:
+                    add_amounts(using, team, use_from_wire({team: said.using[team]})[team])
+        return using
+
     def waiting_rows(self, home: JobScheduler, now: timedelta) -> list[WaitingRow]:
         """Return a row for each of our jobs that has startable tasks."""
         return [
--- a/src/ramptide/quota/exchange.py
+++ b/src/ramptide/quota/exchange.py
@@ -64,7 +64,8 @@
 
     def permits(self, granted: Grants) -> Grants:
         """Return what we may use of each limit, given what the leader grants."""
-        return {team: self._ledger.permit(team, amounts) for team, amounts in granted.items()}
+        changed = {team: self._ledger.permit(team, granted[team]) for team in self._ledger.moved() if team in granted}
+        return {**granted, **changed}
 
     def missing(self) -> list[str]:
         """Return the other members that have not said in this view that this part is on there."""
@@ -103,7 +104,7 @@
         c = self._c
         self.limits.review()
         held = home.usage_with_transfers()
-        self._team_use = c.knowledge.team_use() if c.guarantees or home.with_pending_tasks else {}
+        self._team_use = c.knowledge.use_of({work.job.run.team for work in home.with_pending_tasks.values()})
         self._waiting = self._demands(home, now)
         before, self._short = self._short, self._shortfall(held)
         self.waits.review(self._waiting_for_share(home, held, now), now)
--- a/src/ramptide/quota/fitting.py
+++ b/src/ramptide/quota/fitting.py
@@ -1,6 +1,6 @@
 """The leader's split of a team's limit in sizes that fit the waiting tasks, both resources together. Pure."""
 
-from collections.abc import Mapping
+from collections.abc import Hashable, Mapping
 from dataclasses import dataclass
 
 from ramptide.amounts import NOTHING, Amounts, tasks_within
@@ -28,6 +28,10 @@
     def __init__(self, waiting: Mapping[str, Demands]) -> None:
         self._waiting = waiting
 
+    def basis(self, team: str) -> Hashable:
+        """Return what waits of the team, by member."""
+        return tuple((member, tuple(demands[team])) for member, demands in self._waiting.items() if team in demands)
+
     def targets(self, team: str, limit: Amounts, using: Mapping[str, Amounts]) -> dict[str, Amounts]:
         """Return what each member should have, given what each uses."""
         left = Amounts(
--- a/src/ramptide/quota/ledger.py
+++ b/src/ramptide/quota/ledger.py
@@ -77,6 +77,10 @@
         """Return by how much transfers have moved our share of a team away from the leader's grant."""
         return self._balance.get(team, NOTHING)
 
+    def moved(self) -> Iterable[str]:
+        """Return the teams of which some share was passed on or taken."""
+        return self._balance.keys()
+
     def permit(self, team: str, granted: Amounts) -> Amounts:
         """Return what we may use of a team's limit; below zero when we gave on what the leader took back since."""
         moved = self._balance.get(team)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -9,6 +9,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from ramptide.context import JSON
+from ramptide.http.client import Client
 from ramptide.http.messages import HttpError, Message, encode_request, encode_response
 from ramptide.http.parser import Parser
 from ramptide.http.server import Server
@@ -191,3 +193,14 @@
     for client in clients:
         client.close()
     server.sock.close()
+
+
+def test_a_call_to_what_is_no_address_gets_no_answer_and_harms_nothing() -> None:
+    """A worker tells its address itself: a broken one must not end what the call was part of."""
+    loop, answers = Loop(), []
+    client = Client(loop, 2)
+    for address in ("vm-000002", "127.0.0.1:none", ""):
+        client.call(address, "GET", "/inspect", b"", JSON, timedelta(seconds=1), answers.append)
+    loop.after(timedelta(milliseconds=300), loop.stop)
+    loop.run()
+    assert answers == [None, None, None] and client.open_connections == 0
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -13,6 +13,7 @@
 from ramptide import wire
 from ramptide.app import Controller
 from ramptide.floor import Floor
+from ramptide.parts import Parts, QuotaPart
 from ramptide.records import JobRecord, Progress, to_value
 from ramptide.starts import Starter
 
@@ -23,9 +24,11 @@
 LONGEST_MESSAGE_BYTES = 192 * 1024
 
 
-def fleet_world(machines: int, members: int = 3) -> World:
+def fleet_world(
+    machines: int, members: int = 3, teams: dict[str, float] | None = None, parts: Parts | None = None
+) -> World:
     """Controllers that all start at once, and find machines that run the tasks of one job each for fifty of them."""
-    world = World(5, capacity=machines, members=members)
+    world = World(5, teams=teams, capacity=machines, members=members, parts=parts)
     world.limits |= {"rps": 300.0, "write_rps": 60.0, "value_kb": 4.0}
     for first in range(0, machines, RENTED_TOGETHER):
         ref = f"j-{first}"
@@ -244,3 +247,30 @@
     assert world.rules.broken == []
     alive = sum(worker.alive for worker in healthy)
     assert alive == len(healthy), "no machine that reports is given up"
+
+
+def quota_calls(machines: int, teams: int) -> tuple[int, int]:
+    """Python calls of a round and of a message of the quota part, while the jobs of three teams wait."""
+    limits = {"team": 0.0} | {f"t-{number}": 8.0 for number in range(teams)}
+    world = fleet_world(machines, teams=limits, parts=Parts(QuotaPart(True)))
+    assert world.run_until(lambda: settled(world), 20)
+    world.run(2)
+    for number in range(3):
+        world.submit(f"j-9{number}", owner=f"t-{number}", pieces=20, cores=2.0, guessS=5000.0)
+        assert world.accepted(f"j-9{number}", world.names[number])
+    world.run(2)
+    controller = next(c for c in controllers(world) if c.home is not None and c.home.with_pending_tasks)
+    quota, home = controller.quota, controller.home
+    assert quota is not None and home is not None and quota.ready
+    peer = next(iter(controller.peers.all.values()))
+    round_calls = python_calls(lambda: quota.review(home, controller.context.now))
+    message_calls = python_calls(lambda: quota.message_for(peer) and None)
+    assert world.rules.broken == []
+    return round_calls, message_calls
+
+
+def test_passing_share_on_takes_the_same_work_with_200_teams_and_4000_machines() -> None:
+    small_round, small_message = quota_calls(SMALL, 20)
+    large_round, large_message = quota_calls(LARGE, 200)
+    assert 0 < large_round <= small_round * 1.5
+    assert 0 < large_message <= small_message * 1.5
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -10,11 +10,13 @@
 import pytest
 from world import S, World, leader, started
 
+from ramptide.admin import Admin
 from ramptide.amounts import UNITS, Amounts, add_amounts
 from ramptide.parts import Parts, QuotaPart
 from ramptide.quota.exchange import QuotaExchange
 from ramptide.quota.ledger import AccountBook, Ledger
 from ramptide.quota.messages import TransferRow
+from ramptide.quota.share_waits import ShareWaits
 
 ON = Parts(QuotaPart(True))
 LIMIT = 12.0
@@ -380,3 +382,43 @@
     assert world.run_until(lambda: world.done("j-2"), 12)
     assert not world.done("j-1")
     assert world.rules.broken == []
+
+
+# What operators see.
+
+
+def test_shares_transfers_and_waits_are_in_status_and_metrics() -> None:
+    world = flood(3)
+    world.run(20)
+    name = leader(world)
+    controller = world.nodes[name].controller
+    assert controller is not None and controller.quota is not None
+    got: dict[str, bytes] = {}
+    for path in ("/admin/status", "/metrics"):
+        Admin(controller).handle("GET", path, b"", lambda status, body, kind, path=path: got.update({path: body}))  # type: ignore[misc]
+    told = json.loads(got["/admin/status"])["quota"]
+    assert told["members_without"] == [] and told["transfers"]["given"] == controller.quota.counters["given"]
+    share = told["teams"]["tight"]["cores"]
+    assert share["held"] * UNITS == controller.grants["tight"].cores and share["borrowed"] > 0
+    assert set(share) == {"held", "used", "borrowed", "in_transfer"} and told["teams"]["tight"]["pending"] is False
+    metrics = got["/metrics"].decode()
+    for text in (
+        'ramptide_quota_held{resource="cores",team="tight"}',
+        'ramptide_quota_in_transfer{resource="cores",team="tight"} 0.0',
+        'ramptide_quota_transfers_total{outcome="refused"} 0.0',
+        "ramptide_quota_share_wait_seconds_total",
+    ):
+        assert text in metrics
+
+
+def test_waits_for_share_are_measured_from_begin_to_end() -> None:
+    waits = ShareWaits()
+    waits.review({"j-1", "j-2"}, 1 * S)
+    waits.review({"j-2"}, 1.5 * S)
+    assert waits.count == 1 and waits.percentiles()[50.0] == pytest.approx(0.5, rel=0.02)
+    waits.review(set(), 4 * S)
+    assert waits.count == 2 and waits.total == 3.5 * S and waits.percentiles()[99.0] == pytest.approx(3, rel=0.02)
+    waits.review({"j-3"}, 5 * S)
+    waits.forget()
+    waits.review(set(), 9000 * S)
+    assert waits.count == 2
