--- a/src/ramptide/settings.py
+++ b/src/ramptide/settings.py
@@ -99,6 +99,7 @@
     "hand_over": Bound(0, 600, "seconds that a task waits in a part before its job goes to the leader"),
     "list_every": Bound(1, 600, "seconds between two readings of the cloud's list"),
     "preempt_after": Bound(0, 600, "seconds without room after which a job claims room that others must give up"),
+    "guarantees_first": Bound(0, 1, "1: work within a guarantee goes first in its rank, where the quota part is on"),
     "hold": Bound(0, 3, "seconds that a report may wait for a launch before it is answered"),
 }
 
@@ -130,6 +131,7 @@
     hand_over: timedelta = timedelta(seconds=1)
     list_every: timedelta = timedelta(seconds=4)
     preempt_after: timedelta = timedelta(seconds=2)
+    guarantees_first: int = 1
     hold: timedelta = timedelta(seconds=1.5)
 
     def to_value(self) -> dict[str, float | int]:
--- a/src/ramptide/starts.py
+++ b/src/ramptide/starts.py
@@ -122,7 +122,7 @@
         """Return the sort key of a job that has been idle for so long, the most urgent lowest."""
         tuning = self._c.tuning
         quota = self._c.quota
-        guaranteed = quota is not None and quota.within_guarantee(job.run)
+        guaranteed = quota is not None and bool(tuning.guarantees_first) and quota.within_guarantee(job.run)
         return urgency(job, idle, wall, self._c.prompt, tuning.patience, tuning.begin_within, guaranteed)
 
     def _reach(self, work: JobState, now: timedelta, wall: datetime) -> Reach:
