Controllers' shard and scheduler are called what their classes are

Need: the fields part and home are words of an earlier house style, and home also means the controller of a job. Change: renamed in sources, tests and tools; nothing else.

--- a/src/ramptide/app.py
+++ b/src/ramptide/app.py
@@ -106,8 +106,8 @@
         self.counters: Counter[str] = Counter()
         self.telemetry = Telemetry()
 
-        self.part: Shard | None = None
-        self.home: JobScheduler | None = None
+        self.shard: Shard | None = None
+        self.scheduler: JobScheduler | None = None
         self.view: View | None = None
         self.view_at = ZERO
         self.latched = False
@@ -135,7 +135,7 @@
             self.machines,
             self.flavors,
             self.jobs,
-            lambda host: self.home.attempts.get(host, {}).values() if self.home is not None else (),
+            lambda host: self.scheduler.attempts.get(host, {}).values() if self.scheduler is not None else (),
         )
         self.store = Store(context, settings.outside.state, cluster.state, cluster.nodes)
         self.cloud = Cloud(context, settings.outside.cloud, cluster.cloud, cluster.nodes)
@@ -263,7 +263,7 @@
         for name, peer in self.peers.all.items():
             if peer.answered is None or now - peer.answered > PEER_SILENT:
                 found.append(f"controller {name}")
-        up = [machine for machine in self.part.machines.values() if machine.up] if self.part is not None else []
+        up = [machine for machine in self.shard.machines.values() if machine.up] if self.shard is not None else []
         if up and self.may_answer() and all(machine.silent for machine in up):
             found.append("all its machines")
         return found
@@ -340,10 +340,10 @@
             return
         self.floor.job_over(ref, job.run, self.context.now)
         self.results.forget(ref)
-        if self.home is not None:
-            self.home.job_over(ref)
-        if self.part is not None:
-            self.part.job_over(ref)
+        if self.scheduler is not None:
+            self.scheduler.job_over(ref)
+        if self.shard is not None:
+            self.shard.job_over(ref)
 
     def _home_of(self, job: Job) -> str | None:
         if self.view is None:
@@ -351,19 +351,19 @@
         return job.record.home if job.record.home in self.view.members else self.view.leader
 
     def _assign(self, job: Job) -> None:
-        if self.home is None:
+        if self.scheduler is None:
             return
         if self._home_of(job) == self.member:
-            known = job.ref in self.home.jobs
-            self.home.take_job(job, self.context.now, self.floor.failed_on(job.ref))
+            known = job.ref in self.scheduler.jobs
+            self.scheduler.take_job(job, self.context.now, self.floor.failed_on(job.ref))
             if known:
-                self.home.results_recorded(job.ref)
+                self.scheduler.results_recorded(job.ref)
             else:
                 # The others' lists that we have may be from before we became its home, yet satisfy all that a
                 # handover waits for: what they show of the job is taken over before anything is started.
-                self._read_again(self.home, job.ref)
+                self._read_again(self.scheduler, job.ref)
         else:
-            self.home.release_job(job.ref)
+            self.scheduler.release_job(job.ref)
 
     def _read_again(self, home: JobScheduler, ref: str) -> None:
         for name in self.floor.where(ref):
@@ -379,8 +379,8 @@
         self.floor.show(name, row, self.context.now)
         if row is not None and row.address is not None and name in self.machines:
             self.addresses[name] = row.address
-        if self.home is not None and row is not None:
-            self._read_host(self.home, name)
+        if self.scheduler is not None and row is not None:
+            self._read_host(self.scheduler, name)
 
     def _on_rental(self, name: str, value: Any) -> None:
         try:
@@ -401,8 +401,8 @@
                 self.leader.recorded(host)
                 self.floor.add(host, self._unproven_since() if machine.opened else None)
                 self._own(host, machine)
-                if self.home is not None and self._faulty(host):
-                    self.home.machine_faulty(host)
+                if self.scheduler is not None and self._faulty(host):
+                    self.scheduler.machine_faulty(host)
 
     def _unproven_since(self) -> timedelta:
         """Return since when a task of a finished job may be on a machine that was in use before this process started.
@@ -423,17 +423,17 @@
         self.addresses.pop(host, None)
         self.floor.remove(host)
         self.leader.forget(host)
-        if self.home is not None:
-            self.home.remove_machine(host)
-        if self.part is not None:
-            self.part.remove_machine(host)
+        if self.scheduler is not None:
+            self.scheduler.remove_machine(host)
+        if self.shard is not None:
+            self.shard.remove_machine(host)
         self.reports.forget(host)
 
     def _own(self, host: str, record: MachineRecord) -> None:
-        if self.part is not None and self.view is not None and self.owner(host) == self.member:
+        if self.shard is not None and self.view is not None and self.owner(host) == self.member:
             images = self.floor.hosts[host].images if host in self.floor.hosts else []
             until = self._answerable.get(host)
-            self.part.add_machine(host, record, self.flavors.get(record.flavor), self.context.now, images, until)
+            self.shard.add_machine(host, record, self.flavors.get(record.flavor), self.context.now, images, until)
 
     def owner(self, host: str) -> str:
         """Return the member that owns the machine in the current view."""
@@ -499,7 +499,7 @@
         # What we know of the view just before still holds; of one further back it need not.
         follows = self.view is not None and view.number == self.view.number + 1
         self._answerable = (
-            self.part.last_possible_answers(self.others_end()) if follows and self.part is not None else {}
+            self.shard.last_possible_answers(self.others_end()) if follows and self.shard is not None else {}
         )
         known = self._lingering_since if follows else {}
         self._lingering_since = {one: known.get(one, self.context.now) for one in view.lingering.items()}
@@ -521,23 +521,23 @@
             self.quota.new_view(view if mine else None)
         self._count_witnesses(view)
         if not mine:
-            self.part = self.home = None
+            self.shard = self.scheduler = None
             self.announcer.stop()
             self.reports.new_view()
             return
         index = sorted(view.members).index(self.member)
-        self.part = Shard(
+        self.shard = Shard(
             view.number, self.lease, self.report_every, lambda ref: job.run if (job := self.jobs.get(ref)) else None
         )
         # Attempts are numbered so that no two controllers and no two views ever use the same number.
-        self.home = JobScheduler(self.member, (view.number * 64 + index) << 24, self._faulty)
+        self.scheduler = JobScheduler(self.member, (view.number * 64 + index) << 24, self._faulty)
         for name, record in self.machines.items():
             self._own(name, record)
         self._answerable = {}
         for job in self.jobs.values():
             self._assign(job)
         self.reports.new_view()
-        self._announce_token(self.part, silent)
+        self._announce_token(self.shard, silent)
 
     def _announce_token(self, part: Shard, silent: set[str]) -> None:
         """Tell the workers of our machines the token of the view, as far as we know where they are.
@@ -595,17 +595,17 @@
     def _tick(self) -> None:
         now = self.context.now
         self.telemetry.round_clock.begin(now)
-        if self.home is None or self.part is None or self.view is None:
+        if self.scheduler is None or self.shard is None or self.view is None:
             self._plan_tick(IDLE_ROUND)
             self.syncing.send_outside()
             return
         slow = now - self._last_round >= QUIET_ROUND
-        news = self.home.needs_round or bool(self.part.changed_hosts)
+        news = self.scheduler.needs_round or bool(self.shard.changed_hosts)
         self._plan_tick(ROUND if news else IDLE_ROUND)
         self.reports.answer_held(now)
         if slow or news:
-            self._round(self.home, self.part, now, slow)
-        self.syncing.send(self.home, self.part, now)
+            self._round(self.scheduler, self.shard, now, slow)
+        self.syncing.send(self.scheduler, self.shard, now)
 
     def _round(self, home: JobScheduler, part: Shard, now: timedelta, slow: bool) -> None:
         """Process what changed; what changes only with time is processed in slow rounds."""
@@ -710,7 +710,7 @@
 
     def ready(self, work: JobState) -> bool:
         """Tell whether the job's tasks may be started: none can be on a machine without our knowledge."""
-        assert self.view is not None and self.part is not None
+        assert self.view is not None and self.shard is not None
         record = work.job.record
         if not self.latched and (record.born != self.view.number or record.run.team in self.limits):
             return False
@@ -719,7 +719,7 @@
             return True
         for member in self.view.members:
             if member == self.member:
-                ack = self.part.acks.get(hand.member, 0)
+                ack = self.shard.acks.get(hand.member, 0)
             else:
                 said = self.peers.said(member)
                 ack = 0 if said is None else said.seq if member == hand.member else said.acks.get(hand.member, 0)
--- a/src/ramptide/demand.py
+++ b/src/ramptide/demand.py
@@ -33,8 +33,8 @@
     def team_use(self) -> dict[str, Amounts]:
         """Return what the attempts of all schedulers hold, by team."""
         c = self._c
-        assert c.home is not None
-        using = c.home.usage()
+        assert c.scheduler is not None
+        using = c.scheduler.usage()
         for said in c.peers.messages():
             for team, amounts in use_from_wire(said.using).items():
                 add_amounts(using, team, amounts)
@@ -43,11 +43,11 @@
     def use_of(self, teams: Iterable[str]) -> dict[str, Amounts]:
         """Return what the attempts of all schedulers hold, for some teams only."""
         c = self._c
-        assert c.home is not None
+        assert c.scheduler is not None
         using: dict[str, Amounts] = {}
         messages = c.peers.messages()
         for team in teams:
-            using[team] = c.home.index.usage.get(team, NOTHING)
+            using[team] = c.scheduler.index.usage.get(team, NOTHING)
             for said in messages:
                 if team in said.using:
                     add_amounts(using, team, use_from_wire({team: said.using[team]})[team])
@@ -78,7 +78,7 @@
     def demands(self) -> list[Demand]:
         """Return the waiting tasks of all schedulers that their team's limit lets run now, most urgent first."""
         c = self._c
-        home = c.home
+        home = c.scheduler
         assert home is not None
         now, wall = c.context.now, c.context.wall()
         using = self.team_use()
@@ -127,7 +127,7 @@
                     notice=None if host.notice is None else host.notice - now,
                     failing=c.floor.failing(name) if name in c.floor.hosts else 0,
                     failed=host.failing,
-                    tasks=host.busy + (len(c.home.attempts.get(name, ())) if c.home is not None else 0),
+                    tasks=host.busy + (len(c.scheduler.attempts.get(name, ())) if c.scheduler is not None else 0),
                     room=room.copy() if room is not None else None,
                     drained=host.known and host.leaving and not host.busy,
                     listed=listed.get(name),
--- a/src/ramptide/evictions.py
+++ b/src/ramptide/evictions.py
@@ -161,7 +161,7 @@
 
     def evict(self, ref: str, task: int, number: int, grace: timedelta) -> None:
         """Stop an attempt of ours to make room, on the leader's request."""
-        home = self._c.home
+        home = self._c.scheduler
         assert home is not None
         work = home.jobs.get(ref)
         attempt = work.placed.get(task) if work is not None else None
--- a/src/ramptide/leader.py
+++ b/src/ramptide/leader.py
@@ -80,7 +80,7 @@
         if self._timer is not None:
             self._timer.cancel()
         self._timer = c.context.after(c.tuning.step, self._step)
-        if not c.membership.leading or c.home is None:
+        if not c.membership.leading or c.scheduler is None:
             return
         self._read_list()
         self._ask_again()
--- a/src/ramptide/quota/exchange.py
+++ b/src/ramptide/quota/exchange.py
@@ -217,7 +217,7 @@
                 self._c.peers.hurry(self._c.peers.all[receiver], AT_ONCE)
 
     def _balance_changed(self, teams: list[str]) -> None:
-        home = self._c.home
+        home = self._c.scheduler
         assert home is not None
         for team in teams:
             self._changed.mark(team, home.seq + 1)
--- a/src/ramptide/quota/limit_table.py
+++ b/src/ramptide/quota/limit_table.py
@@ -45,8 +45,8 @@
             table.clear()
             table.update(new)  # type: ignore[arg-type]
         c.syncing.limit_split.limits_changed()
-        if c.home is not None:
-            c.home.needs_round = True
+        if c.scheduler is not None:
+            c.scheduler.needs_round = True
 
     # Changes of operators.
 
--- a/src/ramptide/quota/operators.py
+++ b/src/ramptide/quota/operators.py
@@ -40,7 +40,7 @@
 
 def team_shares(controller: "Controller", quota: QuotaExchange) -> dict[str, TeamShare]:
     """Return what this controller holds of each limit, by team; empty without a place in the view."""
-    home = controller.home
+    home = controller.scheduler
     if home is None:
         return {}
     used, everywhere = home.usage_with_transfers(), controller.knowledge.team_use()
--- a/src/ramptide/starts.py
+++ b/src/ramptide/starts.py
@@ -37,7 +37,7 @@
         """Return what is free on machines that take tasks now, and whose owners were heard recently."""
         c = self._c
         if ours_only:
-            return list(c.floor.free(c.part.machines)) if c.part is not None else []
+            return list(c.floor.free(c.shard.machines)) if c.shard is not None else []
         fresh = c.fresh_members()
         if c.view is not None and len(fresh) >= len(c.view.members):
             return list(c.floor.free())
@@ -75,7 +75,7 @@
         if not works:
             return
         ours_only = not c.membership.leading
-        c.floor.refresh(c.part.machines if ours_only and c.part is not None else None)
+        c.floor.refresh(c.shard.machines if ours_only and c.shard is not None else None)
         least = min(work.job.run.cores for work in works)
         rooms = [room for room in self.rooms(ours_only) if room.cores + ROUNDING >= least]
         wall = c.context.wall()
--- a/src/ramptide/syncing.py
+++ b/src/ramptide/syncing.py
@@ -68,7 +68,7 @@
     def take(self, body: bytes) -> bytes | None:
         """Take another controller's message and return the encoded answer, or None when it is broken."""
         c = self._c
-        number = c.view.number if c.view is not None and c.part is not None else 0
+        number = c.view.number if c.view is not None and c.shard is not None else 0
         taken = c.peers.take(body, number)
         if taken is None:
             return None
@@ -97,12 +97,12 @@
     def belongs(self, sync: Sync) -> bool:
         """Tell whether the sender is the process that is a member of our view."""
         c = self._c
-        return c.view is not None and c.home is not None and sync.inc == c.view.members.get(sync.member)
+        return c.view is not None and c.scheduler is not None and sync.inc == c.view.members.get(sync.member)
 
     def on_sync(self, sync: Sync, peer: Peer) -> None:
         """Apply a message of a member of our view."""
         c = self._c
-        home, part, view = c.home, c.part, c.view
+        home, part, view = c.scheduler, c.shard, c.view
         if home is None or part is None or view is None:
             return
         now = c.context.now
@@ -214,7 +214,7 @@
         taken = [peer.taken for name, peer in c.peers.all.items() if name in c.view.members]
         self._rows.prune(min(taken, default=0), part.machines)
         for name, ledger in self._wishes.items():
-            ledger.prune(c.peers.all[name].taken, c.home.attempts if c.home is not None else ())
+            ledger.prune(c.peers.all[name].taken, c.scheduler.attempts if c.scheduler is not None else ())
 
     def send(self, home: JobScheduler, part: Shard, now: timedelta) -> None:
         """Send messages to the controllers that are due one."""
@@ -254,7 +254,7 @@
             c.peers.send(peer, sync, CALM if calm else EVERY)
 
     def _forget_old(self, part: Shard, now: timedelta) -> None:
-        seq = self._c.home.seq if self._c.home is not None else 0
+        seq = self._c.scheduler.seq if self._c.scheduler is not None else 0
         if seq >= self._prune_at:
             self._prune_at = seq + PRUNE_EVERY
             self._prune(part)
@@ -308,7 +308,7 @@
     def strangers(self) -> dict[str, tuple[str, str, bool]]:
         """Return type, zone and kind (spot or not) of machines that report and are not in the fleet record."""
         c = self._c
-        found = c.part.unrecorded_machines() if c.part is not None else {}
+        found = c.shard.unrecorded_machines() if c.shard is not None else {}
         for said in c.peers.messages():
             found |= said.strangers
         return {host: kind for host, kind in found.items() if host not in c.machines}
--- a/src/ramptide/team_usage.py
+++ b/src/ramptide/team_usage.py
@@ -46,7 +46,7 @@
 
     Empty on a controller without a place in the view, which decides no starts.
     """
-    home = controller.home
+    home = controller.scheduler
     if home is None:
         return {}
     totals = _Totals(controller.knowledge.team_use(), home.usage_with_transfers(), waiting_for_limits(controller, home))
--- a/src/ramptide/workers.py
+++ b/src/ramptide/workers.py
@@ -66,11 +66,11 @@
         if owner != c.member:
             self._not_ours(owner, answer)
             return
-        if c.part is None or not c.may_answer() or beat.baton > view.number:
+        if c.shard is None or not c.may_answer() or beat.baton > view.number:
             answer(503, b"{}")
             return
         try:
-            fresh = c.part.reports.take(beat, c.context.now)
+            fresh = c.shard.reports.take(beat, c.context.now)
         except wire.MessageError as error:
             answer(400, wire.encode({"error": str(error)}))
             return
@@ -79,8 +79,8 @@
             answer(503, b"{}")
             return
         self.forget(beat.host)
-        machine = c.part.machines.get(beat.host)
-        if machine is not None and self._worth_holding(machine) and not c.part.commands.pending(beat.host):
+        machine = c.shard.machines.get(beat.host)
+        if machine is not None and self._worth_holding(machine) and not c.shard.commands.pending(beat.host):
             self._held[beat.host] = Held(answer, c.context.now + c.tuning.hold)
             return
         self._reply(beat.host, answer)
@@ -92,14 +92,14 @@
         report lacks is not there. Other controllers may have answered it up to now, and its lease counts from then on.
         """
         c = self._c
-        machine = c.part.machines.get(beat.host) if c.part is not None else None
-        if machine is None or c.part is None or beat.baton != c.part.view:
+        machine = c.shard.machines.get(beat.host) if c.shard is not None else None
+        if machine is None or c.shard is None or beat.baton != c.shard.view:
             return
         if machine.last_report is not None:
             machine.skip_to((beat.tenure, beat.tally))
             return
         try:
-            fresh = c.may_answer() and c.part.reports.take(beat, c.context.now)
+            fresh = c.may_answer() and c.shard.reports.take(beat, c.context.now)
         except wire.MessageError as error:
             log.debug("report of %s: %s", beat.host, error)
             return
@@ -125,18 +125,18 @@
 
     def _reply(self, host: str, answer: BeatAnswer) -> None:
         c = self._c
-        if c.part is None or c.view is None or not c.may_answer():
+        if c.shard is None or c.view is None or not c.may_answer():
             answer(503, b"{}")
             return
-        machine = c.part.machines.get(host)
-        orders = c.part.commands.take(host, c.context.now, c.may_start())
+        machine = c.shard.machines.get(host)
+        orders = c.shard.commands.take(host, c.context.now, c.may_start())
         if machine is not None:
             machine.last_answer = c.context.now
         answer(200, wire.encode_beat_answer(c.view.number, orders))
 
     def answer_held(self, now: timedelta) -> None:
         """Answer the delayed reports that are due or whose machines have commands."""
-        part = self._c.part
+        part = self._c.shard
         for host, held in list(self._held.items()):
             if held.until <= now or part is not None and host in part.hosts_to_notify and part.commands.pending(host):
                 del self._held[host]
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -108,9 +108,9 @@
 
 def launch_under_way(controller: Controller | None) -> str | None:
     """The host to which an answer with a launch is on its way."""
-    if controller is None or controller.part is None:
+    if controller is None or controller.shard is None:
         return None
-    for host, machine in controller.part.machines.items():
+    for host, machine in controller.shard.machines.items():
         if any(entry.phase is Phase.SENT for entry in machine.entries.values()):
             return host
     return None
@@ -133,11 +133,11 @@
     body = json.dumps(world.jobs["j-2"]).encode()
     world.ask("c0", lambda controller: controller.desk.submit(body, lambda status, *_: None))
     controller, host = controller_with_a_launch_under_way(world)
-    assert controller.part is not None
-    machine = controller.part.machines[host]
+    assert controller.shard is not None
+    machine = controller.shard.machines[host]
     tenure, tally = machine.last_report_id
     before = {key: (entry.phase, entry.desired) for key, entry in machine.entries.items()}
-    controller.reports.take_direct(wire.decode_beat(report(host, controller.part.view, tenure, tally + 1)))
+    controller.reports.take_direct(wire.decode_beat(report(host, controller.shard.view, tenure, tally + 1)))
     assert {key: (entry.phase, entry.desired) for key, entry in machine.entries.items()} == before
     assert any(state == (Phase.SENT, DesiredState.RUN) for state in before.values())
 
@@ -150,8 +150,8 @@
     rest = [node.controller for name, node in world.nodes.items() if name != gone and node.controller is not None]
     assert world.run_until(lambda: all(c.view is not None and gone not in c.view.members for c in rest), 10)
     for controller in rest:
-        assert controller.part is not None
-        machines = controller.part.machines.values()
+        assert controller.shard is not None
+        machines = controller.shard.machines.values()
         assert world.run_until(lambda machines=machines: any(one.last_report is not None for one in machines), 2)  # type: ignore[misc]
         told = [one for one in machines if one.last_report is not None and one.last_answer is None]
         assert told and all(one.latest_answer() == one.last_report > controller.view_at for one in told)
@@ -163,15 +163,15 @@
     controller, host = next(
         (node.controller, host)
         for node in world.nodes.values()
-        if node.controller is not None and node.controller.part is not None
-        for host, machine in node.controller.part.machines.items()
+        if node.controller is not None and node.controller.shard is not None
+        for host, machine in node.controller.shard.machines.items()
         if machine.last_report is not None
     )
-    assert controller.part is not None
-    machine = controller.part.machines[host]
+    assert controller.shard is not None
+    machine = controller.shard.machines[host]
     tenure, tally = machine.last_report_id
-    controller.reports.take_direct(wire.decode_beat(report(host, controller.part.view, tenure, tally + 1)))
-    following = wire.decode_beat(report(host, controller.part.view, tenure, tally + 2))
-    assert controller.part.reports.take(following, world.now) and not machine.unreachable
-    astray = wire.decode_beat(report(host, controller.part.view, tenure, tally + 4))
-    assert controller.part.reports.take(astray, world.now) and machine.unreachable
+    controller.reports.take_direct(wire.decode_beat(report(host, controller.shard.view, tenure, tally + 1)))
+    following = wire.decode_beat(report(host, controller.shard.view, tenure, tally + 2))
+    assert controller.shard.reports.take(following, world.now) and not machine.unreachable
+    astray = wire.decode_beat(report(host, controller.shard.view, tenure, tally + 4))
+    assert controller.shard.reports.take(astray, world.now) and machine.unreachable
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -293,7 +293,7 @@
     worker, task = world.rules.on_machines()[0]
     name = owner(world, worker.host)
     controller = world.nodes[name].controller
-    assert controller is not None and controller.part is not None
+    assert controller is not None and controller.shard is not None
     rng = random.Random(seed)
     beat = {
         "host": worker.host, "addr": "h:1", "rig": "m", "yard": worker.yard, "loaners": False, "tenure": worker.tenure,
@@ -302,13 +302,13 @@
     }  # fmt: skip
     refused = 0
     for _ in range(1500):
-        body, before = broken(rng, beat, to_json), shown(controller.part, worker.host)
+        body, before = broken(rng, beat, to_json), shown(controller.shard, worker.host)
         got: list[int] = []
         controller.reports.beat(body, lambda status, said, got=got: got.append(status))  # type: ignore[misc]
         if got and got[0] != 200:
             refused += 1
             assert got[0] in (400, 421, 503), body
-            assert shown(controller.part, worker.host) == before, body
+            assert shown(controller.shard, worker.host) == before, body
         else:
             # Taken, so it is well-formed: a few bytes of a name or a number may have changed.
             wire.decode_pieces(wire.decode_beat(body).pieces)
@@ -335,17 +335,17 @@
     world = busy_world(guessS=500.0)
     worker, _ = world.rules.on_machines()[0]
     controller = world.nodes[owner(world, worker.host)].controller
-    assert controller is not None and controller.part is not None
-    before = shown(controller.part, worker.host)
+    assert controller is not None and controller.shard is not None
+    before = shown(controller.shard, worker.host)
     beat = {"host": worker.host, "rig": "m", "yard": worker.yard, "loaners": False, "tenure": worker.tenure,
             "tally": worker.tally + 1, "baton": worker.baton, "pieces": []}  # fmt: skip
     got: list[int] = []
     body = to_json(beat | changes)
     controller.reports.beat(body, lambda status, said: got.append(status))
-    assert got == [400] and shown(controller.part, worker.host) == before
+    assert got == [400] and shown(controller.shard, worker.host) == before
     deep = to_json(beat).replace(b'"pieces": []', b'"pieces": ' + DEEP)
     controller.reports.beat(deep, lambda status, said: got.append(status))
-    assert got == [400, 400] and shown(controller.part, worker.host) == before
+    assert got == [400, 400] and shown(controller.shard, worker.host) == before
 
 
 def test_a_machine_with_a_strange_name_stops_no_leader() -> None:
@@ -393,13 +393,13 @@
         name, body = rng.choice(said)
         value = cbor2.loads(body) | {"base": 0, "seq": 10**6 + taken}
         controller = world.nodes[name].controller
-        assert controller is not None and controller.home is not None
-        before = (dict(controller.home.jobs), sorted(controller.home.changed_hosts), controller.peers.newest)
+        assert controller is not None and controller.scheduler is not None
+        before = (dict(controller.scheduler.jobs), sorted(controller.scheduler.changed_hosts), controller.peers.newest)
         if controller.syncing.take(broken(rng, value, cbor2.dumps)) is None:
             refused += 1
             assert (
-                dict(controller.home.jobs),
-                sorted(controller.home.changed_hosts),
+                dict(controller.scheduler.jobs),
+                sorted(controller.scheduler.changed_hosts),
                 controller.peers.newest,
             ) == before
         else:
@@ -613,9 +613,11 @@
 def test_a_task_that_the_job_does_not_have_is_not_counted() -> None:
     world = busy_world(guessS=60.0)
     controller = next(
-        c for node in world.nodes.values() if (c := node.controller) is not None and c.home and "j-1" in c.home.jobs
+        c
+        for node in world.nodes.values()
+        if (c := node.controller) is not None and c.scheduler and "j-1" in c.scheduler.jobs
     )
-    home: JobScheduler = controller.home  # type: ignore[assignment]
+    home: JobScheduler = controller.scheduler  # type: ignore[assignment]
     host = world.rules.on_machines()[0][0].host
     rows = list(controller.floor.hosts[host].tasks)
     home.apply_status(host, "a", [*rows, ("j-1", 99_999, 7, "ended", "done")], world.now)
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -287,13 +287,13 @@
     assert part.reports.take(beat(1, 2, 5), 21 * S) and part.unrecorded_machines(), "the leader knows what it returned"
     world = started(5)
     controller = world.nodes[leader(world)].controller
-    assert controller is not None and controller.part is not None
+    assert controller is not None and controller.shard is not None
     controller.leader._returned["vm-1"] = controller.context.now
-    controller.part.unrecorded["vm-1"] = beat(1, 2, 99)
+    controller.shard.unrecorded["vm-1"] = beat(1, 2, 99)
     world.run(30)
     assert "vm-1" not in controller.machines
-    controller.part.unrecorded["vm-2"] = beat(1, 2, 99)
-    controller.part.unrecorded["vm-2"].host = "vm-2"
+    controller.shard.unrecorded["vm-2"] = beat(1, 2, 99)
+    controller.shard.unrecorded["vm-2"].host = "vm-2"
     assert world.run_until(lambda: "vm-2" in controller.machines, 10), "one that nobody returned is taken over"
 
 
@@ -369,7 +369,7 @@
     assert survivor is not None
     assert world.run_until(lambda: survivor.view is not None and list(survivor.view.members) == ["c3"], 10)
     assert world.run_until(lambda: survivor.latched, 12), "the lease is 8 s"
-    assert survivor.part is not None and len(survivor.part.machines) > 700
+    assert survivor.shard is not None and len(survivor.shard.machines) > 700
     world.calls.clear()
     world.run(6)
     assert sum(world.done(f"j-{number}") for number in range(100, 122)) > 0
--- a/tests/test_failing_jobs.py
+++ b/tests/test_failing_jobs.py
@@ -31,7 +31,9 @@
 
 def work_of(world: World, ref: str) -> JobState:
     """What the job's home keeps of it."""
-    return next(c.home.jobs[ref] for c in controllers(world) if c.home is not None and ref in c.home.jobs)
+    return next(
+        c.scheduler.jobs[ref] for c in controllers(world) if c.scheduler is not None and ref in c.scheduler.jobs
+    )
 
 
 def submit_bad(world: World, count: int, after: float = 0.5, **fields: object) -> list[str]:
@@ -353,8 +355,8 @@
     assert world.run_until(lambda: bool(work.failed_on), 10)
     for controller in controllers(world):
         controller.machines[one.host] = replace(controller.machines[one.host], leaving=SICK)
-        if controller.home is not None:
-            controller.home.machine_faulty(one.host)
+        if controller.scheduler is not None:
+            controller.scheduler.machine_faulty(one.host)
     other._finish(second, "error")
     world.run(3)
     return work.failing
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -107,7 +107,7 @@
 
 def test_all_controllers_start_with_4000_machines_and_know_every_task(large: World) -> None:
     for c in controllers(large):
-        assert len(c.machines) == LARGE and c.part is not None
+        assert len(c.machines) == LARGE and c.shard is not None
         assert sum(c.floor.running.values()) == LARGE * TASKS_ON_EACH
     assert large.rules.broken == []
     assert max(len(json.dumps(value)) for value, _, _ in large.state.data.values()) < 4096
@@ -117,14 +117,14 @@
     """What it takes to handle a report and the round after it, on a controller that does not lead."""
     world.run(1.0)
     c = next(c for c in controllers(world) if not c.membership.leading)
-    assert c.part is not None and c.home is not None
-    worker = next(world.workers[host] for host in c.part.machines if world.workers[host].baton == c.part.view)
+    assert c.shard is not None and c.scheduler is not None
+    worker = next(world.workers[host] for host in c.shard.machines if world.workers[host].baton == c.shard.view)
     task = next(iter(worker.tasks.values()))
     if changed:
         task.status = "flushing"
     worker.tally += 1
     body = worker._state(worker.tenure)
-    home, part, now = c.home, c.part, c.context.now
+    home, part, now = c.scheduler, c.shard, c.context.now
     c._round(home, part, now, False)
     answers: list[int] = []
 
@@ -146,7 +146,7 @@
 def work_of_a_start(world: World, ref: str) -> int:
     """What the leader's round takes that starts one task, beside jobs that find no room."""
     c = next(c for c in controllers(world) if c.membership.leading)
-    home, part = c.home, c.part
+    home, part = c.scheduler, c.shard
     assert home is not None and part is not None
     world.submit(ref, pieces=1, cores=2.0, guessS=5000.0)
     assert world.accepted(ref, leader(world))
@@ -179,23 +179,23 @@
         submit(small, small.rng, f"j-80000{number}")
     small.run(5)
     c = next(c for c in controllers(small) if c.membership.leading)
-    assert c.home is not None and len(c.home.with_pending_tasks) >= 20
+    assert c.scheduler is not None and len(c.scheduler.with_pending_tasks) >= 20
     ordered = counted(monkeypatch, Starter, "urgency_of")
-    c.starter.place(c.home, c.context.now)
+    c.starter.place(c.scheduler, c.context.now)
     assert ordered == []
-    waits = [c.home.jobs[f"j-80000{number}"] for number in range(20)]
+    waits = [c.scheduler.jobs[f"j-80000{number}"] for number in range(20)]
     assert all(work.waiting_since is not None and work.without_room_since is not None for work in waits)
 
 
 def test_only_the_rooms_that_are_asked_for_are_worked_out(small: World, monkeypatch: pytest.MonkeyPatch) -> None:
     c = next(c for c in controllers(small) if not c.membership.leading)
-    assert c.part is not None
+    assert c.shard is not None
     c.floor.refresh()
     before = dict(c.floor.rooms)
     worked_out = counted(monkeypatch, Floor, "_room")
     c.floor.touch_all()
-    c.floor.refresh(c.part.machines)
-    assert len(worked_out) == len(c.part.machines) < SMALL / 2
+    c.floor.refresh(c.shard.machines)
+    assert len(worked_out) == len(c.shard.machines) < SMALL / 2
     c.floor.refresh()
     assert len(worked_out) == SMALL and c.floor.rooms == before
 
@@ -206,18 +206,18 @@
     one, other = [c for c in controllers(world) if not c.membership.leading][:2]
     world.cut(one.member, other.member)
     world.run(1)
-    assert one.part is not None and other.part is not None
-    for host in one.part.machines:
-        one.part.mark_changed(host)
+    assert one.shard is not None and other.shard is not None
+    for host in one.shard.machines:
+        one.shard.mark_changed(host)
     world.run(1)
     world.longest_message = 0
     world.heal()
-    told = len(one.part.machines)
+    told = len(one.shard.machines)
     base = other.peers.all[one.member].inbox.seq
     world.run(2)
     assert other.peers.all[one.member].inbox.seq > base and one.peers.all[other.member].taken > base
     assert told > LARGE / 4 and world.longest_message < LONGEST_MESSAGE_BYTES
-    shown = {host: other.floor.hosts[host].tasks for host in one.part.machines}
+    shown = {host: other.floor.hosts[host].tasks for host in one.shard.machines}
     assert all(len(tasks) == TASKS_ON_EACH for tasks in shown.values())
 
 
@@ -259,8 +259,8 @@
         world.submit(f"j-9{number}", owner=f"t-{number}", pieces=20, cores=2.0, guessS=5000.0)
         assert world.accepted(f"j-9{number}", world.names[number])
     world.run(2)
-    controller = next(c for c in controllers(world) if c.home is not None and c.home.with_pending_tasks)
-    quota, home = controller.quota, controller.home
+    controller = next(c for c in controllers(world) if c.scheduler is not None and c.scheduler.with_pending_tasks)
+    quota, home = controller.quota, controller.scheduler
     assert quota is not None and home is not None and quota.ready
     peer = next(iter(controller.peers.all.values()))
     round_calls = python_calls(lambda: quota.review(home, controller.context.now))
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -340,7 +340,7 @@
     hears nothing new of the old home for a moment."""
     new, old = leader(world), others(world)[0]
     home, lead = world.nodes[old].controller, world.nodes[new].controller
-    assert home is not None and lead is not None and home.view is not None and home.home is not None
+    assert home is not None and lead is not None and home.view is not None and home.scheduler is not None
     for controller in (home, lead):
         controller.handover.hand_over = lambda home, now: None  # type: ignore[method-assign]
     for node in world.nodes.values():
@@ -402,7 +402,7 @@
         ) -> None:
             for host, row in sync.status.items():
                 told[peer.name, host] = {task[:3] for task in row.tasks} if row is not None else set()
-            for host, machine in c.part.machines.items() if c.part is not None and sync.view else ():
+            for host, machine in c.shard.machines.items() if c.shard is not None and sync.view else ():
                 ours = {
                     key
                     for key, one in machine.entries.items()
--- a/tests/test_on_call.py
+++ b/tests/test_on_call.py
@@ -645,8 +645,8 @@
     assert world.run_until(lambda: len(world.rules.on_machines()) == 24, 40)
     world.run(3)
     last = of(world, next(name for name in world.names if name != leader(world)))
-    assert last.part is not None and len(last.part.machines) > 2
-    for host in last.part.machines:
+    assert last.shard is not None and len(last.shard.machines) > 2
+    for host in last.shard.machines:
         world.workers[host].hang(25)
     for name in world.names:
         if name != last.member:
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -298,16 +298,16 @@
     world = started(1, teams=TEAMS, parts=ON)
     world.run(3)
     controller = world.nodes["c0"].controller
-    assert controller is not None and controller.quota is not None and controller.home is not None
+    assert controller is not None and controller.quota is not None and controller.scheduler is not None
     sync = sync_of(world, "c0")
     good = late_message(world, {})
     before = dict(controller.grants)
     caplog.clear()
-    controller.quota.take(msgspec.structs.replace(sync, quota=good | change), controller.home)
+    controller.quota.take(msgspec.structs.replace(sync, quota=good | change), controller.scheduler)
     assert controller.grants == before and controller.quota.counters["refused"] == 1
     assert len([one for one in caplog.records if "refused" in one.message]) == 1
     row = [1, "tight", UNITS, 0]
-    controller.quota.take(msgspec.structs.replace(sync, quota=good | {"transfers": [row]}), controller.home)
+    controller.quota.take(msgspec.structs.replace(sync, quota=good | {"transfers": [row]}), controller.scheduler)
     assert controller.grants["tight"].cores == before["tight"].cores + UNITS
 
 
@@ -319,10 +319,10 @@
         world = started(1, teams=TEAMS, parts=ON)
         world.run(3)
         controller = world.nodes["c0"].controller
-        assert controller is not None and controller.quota is not None and controller.home is not None
+        assert controller is not None and controller.quota is not None and controller.scheduler is not None
         before = controller.grants["tight"].cores
         controller.quota.take(
-            msgspec.structs.replace(sync_of(world, "c0"), quota=late_message(world, late)), controller.home
+            msgspec.structs.replace(sync_of(world, "c0"), quota=late_message(world, late)), controller.scheduler
         )
         assert controller.grants["tight"].cores - before == gained
 
@@ -360,9 +360,9 @@
     world = started(1, teams=TEAMS, parts=ON)
     world.run(3)
     controller = world.nodes["c0"].controller
-    assert controller is not None and controller.quota is not None and controller.home is not None
+    assert controller is not None and controller.quota is not None and controller.scheduler is not None
     sync = sync_of(world, "c0")
-    controller.quota.take(msgspec.structs.replace(sync, quota=None), controller.home)
+    controller.quota.take(msgspec.structs.replace(sync, quota=None), controller.scheduler)
     assert controller.quota.counters["refused"] == 0
     body = cbor2.loads(cbor2.dumps(msgspec.to_builtins(sync)))
     assert {"member", "view", "seq", "wire"} <= body.keys() and body["wire"] == 5
--- a/tests/test_quota_limits.py
+++ b/tests/test_quota_limits.py
@@ -126,8 +126,8 @@
     """The member beside the leader whose tasks use most of the limit."""
     use: dict[str, int] = {}
     for name, node in world.nodes.items():
-        assert node.controller is not None and node.controller.home is not None
-        use[name] = node.controller.home.usage().get("tight", (0, 0))[0]
+        assert node.controller is not None and node.controller.scheduler is not None
+        use[name] = node.controller.scheduler.usage().get("tight", (0, 0))[0]
     name = max((name for name in world.names if name != leader(world)), key=lambda one: use[one])
     assert use[name] > UNITS
     return name
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -60,9 +60,9 @@
 def agree(world: World) -> None:
     for node in world.nodes.values():
         c = node.controller
-        if c is None or c.home is None:
+        if c is None or c.scheduler is None:
             continue
-        floor, home = c.floor, c.home
+        floor, home = c.floor, c.scheduler
         floor.refresh()
         plain = {name: room for name in floor.hosts if (room := floor._room(name)) is not None}
         assert floor.rooms == plain
@@ -211,8 +211,8 @@
     assert len(world.workers) < 8
     controller = world.nodes[leader(world)].controller
     assert controller is not None
-    works = [w for node in world.nodes.values() if node.controller is not None and node.controller.home is not None
-             for w in node.controller.home.jobs.values()]  # fmt: skip
+    works = [w for node in world.nodes.values() if node.controller is not None and node.controller.scheduler is not None
+             for w in node.controller.scheduler.jobs.values()]  # fmt: skip
     assert any(work.backoff > 0 * S for work in works)
 
 
@@ -399,8 +399,8 @@
     world.submit("j-2", pieces=24, cores=2.0, guessS=30.0)
     assert world.accepted("j-2", "c0")
     controller = world.nodes["c0"].controller
-    assert controller is not None and controller.part is not None
-    machine, most = controller.part.machines[worker.host], 0
+    assert controller is not None and controller.shard is not None
+    machine, most = controller.shard.machines[worker.host], 0
     for _ in range(200):
         world.run(0.1)
         most = max(most, sum(entry.phase.value == "sent" for entry in machine.entries.values()))
@@ -626,8 +626,8 @@
 def test_given_up_before_their_leases_end_their_tasks_run_twice(monkeypatch: pytest.MonkeyPatch) -> None:
     world = busy_world(guessS=500.0)
     for node in world.nodes.values():
-        assert node.controller is not None and node.controller.part is not None
-        monkeypatch.setattr(node.controller.part.leases, "_lease", 2 * S)
+        assert node.controller is not None and node.controller.shard is not None
+        monkeypatch.setattr(node.controller.shard.leases, "_lease", 2 * S)
     hang_half(world, 12)
     assert any("ran_twice" in rule for rule in world.rules.broken)
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -858,7 +858,7 @@
 def owner(world: World, host: str) -> str:
     """The controller whose part has the machine."""
     for name, node in world.nodes.items():
-        if node.controller is not None and node.controller.part is not None and host in node.controller.part.machines:
+        if node.controller is not None and node.controller.shard is not None and host in node.controller.shard.machines:
             return name
     raise AssertionError("nobody's machine")
 
--- a/tools/measure_quota.py
+++ b/tools/measure_quota.py
@@ -111,7 +111,7 @@
 def sample(world: World, result: Result) -> None:
     """Look at what all controllers together use of each limit, while one of their waiting tasks would fit."""
     controllers = [node.controller for node in world.nodes.values() if node.controller is not None]
-    homes = [one.home for one in controllers if one.home is not None]
+    homes = [one.scheduler for one in controllers if one.scheduler is not None]
     for team, limit in TEAMS.items():
         used = sum(home.usage_with_transfers().get(team, (0, 0))[0] for home in homes)
         left = limit - used / UNITS
