--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -154,6 +154,18 @@
         for name in self.processes:
             self.kill(name)
 
+    def operator(self, name: str, *arguments: str) -> tuple[int, str]:
+        """Runs a command of the administration API; returns its exit status and output."""
+        address = f"127.0.0.1:{self.ports[name][1]}"
+        command = subprocess.Popen(
+            [sys.executable, str(ROOT / "run.py"), "admin", "--address", address, *arguments],
+            env=os.environ | {"PYTHONPATH": os.pathsep.join(sys.path)},
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        self.until(lambda: command.poll() is not None, 30)
+        return command.returncode, command.communicate()[0]
+
     def healthy(self, name: str) -> bool:
         return self.status(name, "GET", "/healthz") == 200
 
--- a/tests/test_loopback_quota.py
+++ b/tests/test_loopback_quota.py
@@ -96,3 +96,10 @@
     given = [line for name in world.names for line in world.metrics(name).splitlines() if 'outcome="given"' in line]
     assert sum(float(line.split()[-1]) for line in given) > 10
     assert all(process.poll() is None for process in world.processes.values())
+    # An operator changes a limit, as the page for operators says.
+    assert world.operator("c1", "quota", "red", "cpus_max=5")[0] == 0
+    assert world.until(lambda: "live/quota/red" in world.state.data, 10)
+    assert world.until(lambda: "pending" not in world.state.data["live/quota/red"][0], 30)
+    status, shown = world.operator("c0", "quota")
+    assert status == 0 and json.loads(shown)["teams"]["red"]["limit"]["cores"] == 5.0
+    assert world.operator("c2", "quota", "red")[0] == 2
--- a/tools/measure_quota.py
+++ b/tools/measure_quota.py
@@ -15,8 +15,12 @@
 from test_quota import send
 from world import S, Task, Worker, World, started
 
-from ramptide.amounts import UNITS
+from ramptide.allowances import ProportionalSplit, SplitPolicy
+from ramptide.amounts import NO_LIMIT, NOTHING, UNITS, Amounts
 from ramptide.parts import Parts, QuotaPart
+from ramptide.quota.fitting import FittingSplit
+from ramptide.quota.messages import TaskDemand
+from ramptide.quota.planner import most_used
 
 SECONDS = 60
 SAMPLE_S = 0.05
@@ -123,8 +127,30 @@
             result.unused += left / limit
 
 
+def compare_splits(rounds: int = 400) -> None:
+    """Print how much of a limit whole tasks can use under each split, against the best that a solver finds."""
+    rng, limit = random.Random(1), Amounts(20 * UNITS, NO_LIMIT)
+    used = Counter[str]()
+    for _ in range(rounds):
+        demands = {
+            member: TaskDemand(round(rng.choice([0.7, 1.0, 1.5, 3.0, 6.0]) * UNITS), 0, rng.randint(1, 8))
+            for member in ("a", "b", "c")
+        }
+        nothing = dict.fromkeys(demands, NOTHING)
+        asking = {member: {"t": demand.size.times(demand.count)} for member, demand in demands.items()}
+        waiting = {member: {"t": [demand]} for member, demand in demands.items()}
+        policies: dict[str, SplitPolicy] = {"in proportion": ProportionalSplit(asking), "whole": FittingSplit(waiting)}
+        for name, policy in policies.items():
+            shares = policy.targets("t", limit, nothing)
+            used[name] += sum(shares[m].cores // demand.cores * demand.cores for m, demand in demands.items())
+        used["best"] += most_used(Amounts(limit.cores, 0), list(demands.values())).cores
+    for name, units in used.items():
+        print(f"split {name}: whole tasks use {100 * units / rounds / limit.cores:.1f} % of the limit")
+
+
 def main() -> None:
-    """Print a table."""
+    """Print both tables."""
+    compare_splits()
     print(
         "load | part | unused | wait 50/90/99 % | messages a start | transactions a start | transfers | starts | broken"
     )
