--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -1,7 +1,10 @@
 """Team limits across whole controllers on the virtual clock: racing starts and transfers, and what may go wrong."""
 
 import json
+import os
 import random
+import subprocess
+import sys
 from collections.abc import Callable
 from typing import Any
 
@@ -368,10 +371,18 @@
     assert {"member", "view", "seq", "wire"} <= body.keys() and body["wire"] == 5
 
 
-def test_off_the_part_is_not_imported() -> None:
+def test_off_the_part_is_not_imported_and_nothing_of_it_is_told() -> None:
+    program = (
+        "import sys, ramptide.service, ramptide.metrics, ramptide.admin;"
+        "print([name for name in sys.modules if 'quota' in name or 'hdrh' in name or 'highspy' in name])"
+    )
+    environment = os.environ | {"PYTHONPATH": os.pathsep.join(sys.path)}
+    run = subprocess.run([sys.executable, "-c", program], env=environment, capture_output=True, text=True, check=True)
+    assert run.stdout == "[]\n"
     world = started(1, teams=TEAMS)
     assert all(node.controller is not None and node.controller.quota is None for node in world.nodes.values())
-    assert all(said.quota is None for said in world.nodes["c0"].controller.peers.messages())  # type: ignore[union-attr]
+    controller = world.nodes["c0"].controller
+    assert controller is not None and all(said.quota is None for said in controller.peers.messages())
 
 
 # Guarantees.
