With the quota part off, no use is added up for handovers and no parser of its file is imported

Need: each round of a member that does not lead added up what teams use, for a question that only the quota part asks; the parts file's parser was imported at each start; the ledger kept a number that nothing read, and listed the members twice. Change: each of them only where it is needed; behaviour is as it was.

--- a/src/ramptide/handover.py
+++ b/src/ramptide/handover.py
@@ -39,7 +39,7 @@
         assert view is not None
         if c.membership.leading or view.leader not in c.fresh_members():
             return
-        held = home.usage_with_transfers()
+        held = home.usage_with_transfers() if c.quota is not None else {}
         for work in list(home.with_pending_tasks.values()):
             if self._moving >= c.store.limits.txn_ops:
                 return
--- a/src/ramptide/parts.py
+++ b/src/ramptide/parts.py
@@ -1,6 +1,5 @@
 """The file that switches parts of the service on, read once when the process starts."""
 
-import tomllib
 from pathlib import Path
 
 import msgspec
@@ -28,6 +27,9 @@
     SettingsError
         If it cannot be read, or a field is unknown, missing or wrong; the message is one line that names it.
     """
+    # Imported here, as most processes start without such a file.
+    import tomllib
+
     try:
         value = tomllib.loads(path.read_text(encoding="utf-8"))
     except OSError as error:
--- a/src/ramptide/quota/exchange.py
+++ b/src/ramptide/quota/exchange.py
@@ -58,8 +58,7 @@
     def new_view(self, view: View | None) -> None:
         """Start with an empty ledger; `view` is None when we have no place in it."""
         self._view = view
-        others = [name for name in view.members if name != self._c.member] if view is not None else []
-        self._ledger = Ledger(others, self._c.limits)
+        self._ledger = Ledger(self._members(), self._c.limits)
         self._book = AccountBook()
         self._changed = ChangeLog()
         self._said = {}
--- a/src/ramptide/quota/ledger.py
+++ b/src/ramptide/quota/ledger.py
@@ -58,9 +58,8 @@
     def __init__(self) -> None:
         self.given: Grants = {}
         self.taken: Grants = {}
-        #: The numbers of the last transfers that we issued, that the other confirmed, and that we took.
+        #: The numbers of the last transfers that we issued and that we took.
         self.issued = 0
-        self.confirmed = 0
         self.last_taken = 0
         self.unconfirmed: dict[int, Transfer] = {}
 
@@ -144,7 +143,6 @@
         for transfer in found:
             transfer.taken()
             del account.unconfirmed[transfer.number]
-        account.confirmed = max(account.confirmed, number)
         return found
 
     # Taking.
