--- a/review/harness.py
+++ b/review/harness.py
@@ -8,6 +8,7 @@
 import json
 import os
 import shlex
+import signal
 import subprocess
 import sys
 import tempfile
@@ -36,6 +37,8 @@
 RULE_HELD, RULE_BROKEN, CANNOT_RUN = 0, 1, 2
 START_TIMEOUT_S = 30.0
 SUBMIT_TRIES = 30
+#: A case that takes longer is given up, as it may run for 120 s at most.
+MAX_RUN_S = 117
 #: The timings of hsinchu-pressure-lab-ops.
 REPORT_S, LEASE_S, CANCEL_S, LIST_LAG_S = 1.5, 10.0, 35.0, 8.0
 #: The least time between two reports of changes, and how often a worker looks for changes.
@@ -196,6 +199,8 @@
 def run_case(script: str, play: Callable[[Deployment], bool], deployment: type[Deployment] = Deployment) -> int:
     """Play a case in a new deployment; `play` returns whether the rule held. Return the exit status."""
     record = Path(script).resolve().parent / "record.txt"
+    signal.signal(signal.SIGALRM, _give_up)
+    signal.alarm(MAX_RUN_S)
     with tempfile.TemporaryDirectory() as folder:
         world = deployment(Path(folder), record)
         try:
@@ -205,6 +210,7 @@
         except Exception:
             world.note(traceback.format_exc())
             status = CANNOT_RUN
+        signal.alarm(0)
         for name in world.controller_names:
             log = Path(folder) / f"{name}.log"
             world.note(f"log of {name}:\n{log.read_text() if log.exists() else ''}")
@@ -212,3 +218,7 @@
         world.end()
     print(f"exit status {status}", file=sys.stderr)
     return status
+
+
+def _give_up(*_: object) -> None:
+    raise CannotRunError(f"not over within {MAX_RUN_S} s")
