--- a/review/harness.py
+++ b/review/harness.py
@@ -200,6 +200,7 @@
     """Play a case in a new deployment; `play` returns whether the rule held. Return the exit status."""
     record = Path(script).resolve().parent / "record.txt"
     signal.signal(signal.SIGALRM, _give_up)
+    signal.signal(signal.SIGTERM, _give_up)
     signal.alarm(MAX_RUN_S)
     with tempfile.TemporaryDirectory() as folder:
         world = deployment(Path(folder), record)
@@ -207,7 +208,7 @@
             world.note(f"disruption: {'yes' if TROUBLE else 'no'}")
             world.start_all()
             status = RULE_HELD if play(world) else RULE_BROKEN
-        except Exception:
+        except (Exception, KeyboardInterrupt):
             world.note(traceback.format_exc())
             status = CANNOT_RUN
         signal.alarm(0)
@@ -221,4 +222,5 @@
 
 
 def _give_up(*_: object) -> None:
-    raise CannotRunError(f"not over within {MAX_RUN_S} s")
+    # No `Exception`, as the event loop of the stand-ins would catch that and go on.
+    raise KeyboardInterrupt(f"ended from outside, or not over within {MAX_RUN_S} s")
