--- a/review/3/case.py
+++ b/review/3/case.py
@@ -3,16 +3,18 @@
 import sys
 from typing import Any
 
-from harness import TROUBLE, Deployment, run_case
+from harness import TROUBLE, CannotRunError, Deployment, run_case
 
 from ramptide.protocol.agents import TaskOutcome
 from ramptide.transport.http.messages import Message
 from virtual.agent import MACHINE_CPUS, Agent
+from virtual.clock import MILLISECOND
 from virtual.network import Respond
 
-#: The region has three machines of the type that the jobs need.
-CAPACITY = 3
-JOB, JOB_TASKS, JOB_CPUS = "j-000003", 6, 2.0
+#: How many machines of the type that the jobs need there are, and how many of them services fill at first.
+CAPACITY, FULL = 6, 4
+REPLICA_CPUS = 4.0
+JOB, JOB_TASKS, JOB_CPUS = "j-000100", 6, 2.0
 #: How long the machines may fail all tasks, and how long they do at least.
 MAX_SICK_S, MIN_SICK_S = 85.0, 3.0
 #: "No job is left waiting for 90 s while a machine that fits has room."
@@ -27,6 +29,28 @@
         super().__init__(*arguments, capacity=CAPACITY)
         self.cloud.boot_seconds = (1.0, 2.0)
         self._failed: list[str] = []
+        #: The machines that stay well; None while no machine is sick.
+        self._serving: set[str] | None = None
+
+    def make_others_sick(self, serving: set[str]) -> None:
+        """Let all machines but those in `serving` fail every task, also those that boot later; at most two."""
+        self._serving = serving
+        self._check_sick()
+
+    def _check_sick(self) -> None:
+        if self._serving is None:
+            return
+        for host, agent in self.agents.items():
+            if host not in self._serving and not agent.is_faulty:
+                agent.is_faulty = True
+                self.note(f"{host} fails every task from now on")
+        self.after(20 * MILLISECOND, self._check_sick)
+
+    def make_all_well(self) -> None:
+        """End the trouble."""
+        self._serving = None
+        for agent in self.agents.values():
+            agent.is_faulty = False
 
     def failed_hosts(self) -> list[str]:
         """Return the machines whose workers report a failed task of the job, or reported one before."""
@@ -81,29 +105,35 @@
     return False
 
 
+def submit_service(world: Deployment, number: int) -> None:
+    """Submit a service of one replica, two of which fill a machine."""
+    job_id = f"j-{number:06}"
+    world.submit(job_id, "c0", shape="service", pieces=1, cores=REPLICA_CPUS, guessS=0.0, rank="production")
+
+
 def play(world: Deployment) -> bool:
     """Let a job fail on two machines; return whether it runs once they are well again."""
     assert isinstance(world, SickMachines)
-    for job_id in ("j-000001", "j-000002"):
-        world.submit(job_id, "c0", shape="service", pieces=1, cores=4.0, guessS=0.0, rank="production")
-    world.require(lambda: len(world.invariants.running_tasks()) == 2, 20, "both services run")
-    world.require(lambda: sum(agent.booted for agent in world.agents.values()) == CAPACITY, 20, "all machines are up")
+    for number in range(2 * FULL):
+        submit_service(world, number)
+    world.require(lambda: len(world.invariants.running_tasks()) == 2 * FULL, 12, "the services run")
     serving = {agent.host for agent, _ in world.invariants.running_tasks()}
-    sick = [agent for host, agent in world.agents.items() if host not in serving]
+    if len(serving) != FULL:
+        raise CannotRunError(f"the services are on {len(serving)} machines")
     sick_since = world.now.total_seconds()
-    for agent in sick if TROUBLE else ():
-        agent.is_faulty = True
-        world.note(f"{agent.host} fails every task from now on")
+    if TROUBLE:
+        world.make_others_sick(serving)
     world.submit(JOB, "c0", pieces=JOB_TASKS, cores=JOB_CPUS, guessS=5.0)
     if TROUBLE:
         world.require(lambda: len(world.failed_hosts()) == 2, 10, "the job has failed on both machines")
     world.wait(MIN_SICK_S)
-    for agent in sick:
-        agent.is_faulty = False
+    world.make_all_well()
     sick_for = world.now.total_seconds() - sick_since
     world.note(f"all machines are well again, after {sick_for:.1f} s (at most {MAX_SICK_S:.0f} s are allowed)")
-    for job_id in ("j-000004", "j-000005"):
-        world.submit(job_id, "c0", shape="service", pieces=1, cores=4.0, guessS=0.0, rank="production")
+    if sick_for > MAX_SICK_S:
+        raise CannotRunError("the machines were sick for too long")
+    for number in range(2):
+        submit_service(world, 200 + number)
     return not has_waited_beside_room(world)
 
 
