The rooms that a job may use are chosen in a module of their own

Need: the search for what leaves a machine out for a job needs one place to read. The choice stood in `PlacementRound`, and three modules wrote the exclusions of machines straight into the state of the job.

Change: `scheduling.allowed_rooms` holds the choice as a pure function; `JobState.exclude` and `JobState.end_exclusions` change the exclusions. No behaviour changes.

--- /dev/null
+++ b/src/ramptide/scheduling/allowed_rooms.py
@@ -0,0 +1,29 @@
+"""Which free rooms a job may use, without those on machines that are left out for it. The functions are pure."""
+
+from datetime import timedelta
+
+from ramptide.placement.bin_packing import ReserveAccess, Room, usable_rooms
+from ramptide.scheduling.job_state import JobState
+
+__all__ = ["allowed_rooms"]
+
+
+def allowed_rooms(
+    job_state: JobState, rooms: list[Room], access: ReserveAccess, now: timedelta, is_leading: bool
+) -> list[Room]:
+    """Return the rooms that the job may use, without those on machines that are excluded for it.
+
+    A failing job starts only on machines on which it has not failed yet, in the whole fleet: it must not be confined to
+    the machines of one owner, which may be faulty. When it has failed on many machines and no other room is left, the
+    leader allows any room, so that no machine is rented for the job.
+    """
+    job_state.end_exclusions(now)
+    excluded = job_state.excluded_until
+    not_excluded = [room for room in rooms if room.host not in excluded] if excluded else rooms
+    if not job_state.is_failing:
+        return not_excluded
+    without_failure = [room for room in not_excluded if room.host not in job_state.failed_on]
+    must_avoid = job_state.avoided_hosts or not is_leading
+    if must_avoid or usable_rooms(job_state.job.spec, without_failure, job_state.placed_by_zone, access):
+        return without_failure
+    return rooms
--- a/src/ramptide/scheduling/failing_jobs.py
+++ b/src/ramptide/scheduling/failing_jobs.py
@@ -35,7 +35,7 @@
     def record_failure(self, job_state: JobState, attempt: Attempt, now: timedelta) -> None:
         """Count a failure against the job, unless the machine is known to be faulty."""
         log.info("task failed: task_id=%s/%d host=%s", attempt.spec.job_id, attempt.task_index, attempt.host)
-        job_state.excluded_until[attempt.host] = now + EXCLUDED_AFTER_FAILURE
+        job_state.exclude(attempt.host, now + EXCLUDED_AFTER_FAILURE)
         if self._is_faulty(attempt.host):
             return
         job_state.failed_on.add(attempt.host)
--- a/src/ramptide/scheduling/job_scheduler.py
+++ b/src/ramptide/scheduling/job_scheduler.py
@@ -279,7 +279,7 @@
         elif attempt.phase is Phase.ENDED and cause == TaskOutcome.FAILED:
             self.failing_jobs.record_failure(job_state, attempt, now)
         elif attempt.phase is Phase.REFUSED or (attempt.phase is Phase.ENDED and cause in REFUSAL_CAUSES):
-            job_state.excluded_until[attempt.host] = now + EXCLUDED_AFTER_REFUSAL
+            job_state.exclude(attempt.host, now + EXCLUDED_AFTER_REFUSAL)
 
     def _record_success(self, job_state: JobState, attempt: Attempt) -> None:
         job_state.longest_failed_run = NO_TIME
--- a/src/ramptide/scheduling/job_state.py
+++ b/src/ramptide/scheduling/job_state.py
@@ -145,6 +145,15 @@
         self.failed_on.clear()
         self.backoff = self.retry_at = NO_TIME
 
+    def exclude(self, host: str, until: timedelta) -> None:
+        """Start no task of the job on a machine until some time."""
+        self.excluded_until[host] = until
+
+    def end_exclusions(self, now: timedelta) -> None:
+        """Remove the exclusions of machines whose time is over."""
+        if self.excluded_until:
+            self.excluded_until = {host: until for host, until in self.excluded_until.items() if until > now}
+
     def has_recovered(self, now: timedelta) -> bool:
         """Return whether a task has run for well over the time that other tasks took to fail."""
         min_run_time = max(self.longest_failed_run * 2, RECOVERED_AFTER)
--- a/src/ramptide/scheduling/placement_round.py
+++ b/src/ramptide/scheduling/placement_round.py
@@ -16,9 +16,9 @@
     choose_room,
     choose_rooms,
     placement_needs,
-    usable_rooms,
 )
 from ramptide.protocol.jobs import SERVICE, JobSpec
+from ramptide.scheduling.allowed_rooms import allowed_rooms
 from ramptide.scheduling.headroom import UNLIMITED, task_headroom
 from ramptide.scheduling.job_scheduler import JobScheduler
 from ramptide.scheduling.job_state import JobState
@@ -209,7 +209,7 @@
         """Start tasks of one job; return whether fewer tasks found room than may be started."""
         spec = job_state.job.spec
         max_starts = self._max_starts(job_state, access, job_state.idle_for(placement.now, placement.wall))
-        rooms = self._allowed_rooms(job_state, access, placement)
+        rooms = allowed_rooms(job_state, placement.rooms, access, placement.now, self._leadership.is_leading)
         if self._quota is not None:
             rooms = self._quota.unclaimed_rooms(spec, rooms)
         allowed = min(self._headroom(spec, placement.used), job_state.startable, max_starts)
@@ -273,26 +273,6 @@
             return math.ceil(job_state.job.spec.task_count * STARVED_TASKS_RATIO)
         return UNLIMITED
 
-    def _allowed_rooms(self, job_state: JobState, access: ReserveAccess, placement: _Round) -> list[Room]:
-        """Return the rooms that the job may use, without those on machines that are excluded for it.
-
-        A failing job starts only on machines on which it has not failed yet, in the whole fleet: it must not be
-        confined to the machines of one owner, which may be faulty. When it has failed on many machines and no other
-        room is left, the leader allows any room, so that no machine is rented for the job.
-        """
-        rooms, now = placement.rooms, placement.now
-        if job_state.excluded_until:
-            job_state.excluded_until = {host: until for host, until in job_state.excluded_until.items() if until > now}
-        excluded = job_state.excluded_until
-        not_excluded = [room for room in rooms if room.host not in excluded] if excluded else rooms
-        if not job_state.is_failing:
-            return not_excluded
-        without_failure = [room for room in not_excluded if room.host not in job_state.failed_on]
-        must_avoid = job_state.avoided_hosts or not self._leadership.is_leading
-        if must_avoid or usable_rooms(job_state.job.spec, without_failure, job_state.placed_by_zone, access):
-            return without_failure
-        return rooms
-
 
 def _is_representative(job_state: JobState) -> bool:
     """Return whether every job of equal needs finds room exactly when this job does."""
--- a/src/ramptide/scheduling/preemption.py
+++ b/src/ramptide/scheduling/preemption.py
@@ -270,7 +270,7 @@
         attempt = job_state.placed.get(task_index) if job_state is not None else None
         if job_state is not None and attempt is not None and attempt.number == number:
             # The room is for another job, so this job is not started on the machine for a while.
-            job_state.excluded_until[attempt.host] = self._runtime.now + PREEMPTION_TIMEOUT
+            job_state.exclude(attempt.host, self._runtime.now + PREEMPTION_TIMEOUT)
             scheduler.stop(attempt, grace)
 
     def _preemptible_tasks(self, host: str) -> list[RunningTask]:
