The log tells why a job waits beside room, and how long a failing job is backed off

Change: `job waits beside room` counts the fitting rooms that are left out for a job of which no task was started for 30 s, by reason; `job backed off` names the pause and the machines on which the job failed.

--- a/src/ramptide/scheduling/job_state.py
+++ b/src/ramptide/scheduling/job_state.py
@@ -1,6 +1,7 @@
 """The state of one job at its scheduler: its waiting and placed tasks, and its failures."""
 
 import heapq
+import logging
 from collections import Counter
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
@@ -12,6 +13,8 @@
 from ramptide.state.records import PROGRESS_WINDOW_TASKS, Progress
 from ramptide.state.task_state import NO_TIME, Phase
 
+log = logging.getLogger(__name__)
+
 BACKOFF_FIRST = timedelta(seconds=2)
 BACKOFF_MAX = timedelta(seconds=60)
 #: A job has recovered when a task has run for longer than this, and for more than twice the longest failed run.
@@ -50,6 +53,8 @@
     #: Since when some of its tasks have found no room although its team's limit lets them run.
     without_room_since: timedelta | None = None
     last_started_at: timedelta | None = None
+    #: When it was last determined why the job leaves out rooms that fit it.
+    left_out_rooms_checked_at: timedelta = NO_TIME
 
     @property
     def waiting(self) -> int:
@@ -139,6 +144,12 @@
         if self.retry_at <= now:
             self.backoff = min(max(self.backoff * 2, BACKOFF_FIRST), BACKOFF_MAX)
             self.retry_at = now + self.backoff
+            log.info(
+                "job backed off: job_id=%s backoff_s=%.0f failed_on=%r",
+                self.job.job_id,
+                self.backoff.total_seconds(),
+                ", ".join(sorted(self.failed_on)),
+            )
 
     def clear_failures(self) -> None:
         """Clear the machines on which the job failed, and let its tasks start without delay again."""
--- a/src/ramptide/scheduling/placement_round.py
+++ b/src/ramptide/scheduling/placement_round.py
@@ -1,5 +1,6 @@
 """The placement round, which decides which waiting tasks of this controller's jobs start on which machines."""
 
+import logging
 import math
 from collections import Counter
 from collections.abc import Callable
@@ -22,6 +23,7 @@
 from ramptide.scheduling.headroom import UNLIMITED, task_headroom
 from ramptide.scheduling.job_scheduler import JobScheduler
 from ramptide.scheduling.job_state import JobState
+from ramptide.scheduling.left_out_rooms import count_left_out_rooms
 from ramptide.scheduling.rooms import RoomFinder
 from ramptide.scheduling.urgency import DeadlineOutlook, deadline_outlook
 from ramptide.scheduling.urgency_order import GuaranteeUsage, UrgencyOrder
@@ -30,7 +32,11 @@
 
 __all__ = ["PlacementRound"]
 
+log = logging.getLogger(__name__)
+
 NO_TIME = timedelta(0)
+#: How long a job waits, and how long it waits on, before the log tells which free rooms are left out for it.
+LEFT_OUT_ROOMS_INTERVAL = timedelta(seconds=30)
 #: The part of an array's tasks that may start in one round when the array has waited so long that it may use all room.
 STARVED_TASKS_RATIO = 0.1
 
@@ -223,8 +229,27 @@
         if started:
             add_amounts(placement.used, spec.team, amounts_of(spec).times(started))
             self._state.counters["starts"] += started
+        if is_short and not started:
+            self._log_left_out_rooms(job_state, access, placement)
         return is_short
 
+    @staticmethod
+    def _log_left_out_rooms(job_state: JobState, access: ReserveAccess, placement: _Round) -> None:
+        """Log from time to time why a job that has waited for long does not use the rooms that fit it."""
+        now = placement.now
+        since = max(job_state.waiting_since or now, job_state.left_out_rooms_checked_at)
+        if now - since < LEFT_OUT_ROOMS_INTERVAL:
+            return
+        job_state.left_out_rooms_checked_at = now
+        left_out = count_left_out_rooms(job_state, placement.rooms, access, now)
+        if left_out is not None:
+            log.info(
+                "job waits beside room: job_id=%s waited_s=%.0f excluded=%d failed=%d reserved=%d claimed=%d",
+                job_state.job.job_id,
+                (now - (job_state.waiting_since or now)).total_seconds(),
+                *left_out,
+            )
+
     def _start_replicas(
         self, job_state: JobState, rooms: list[Room], access: ReserveAccess, allowed: int, placement: _Round
     ) -> bool:
--- /dev/null
+++ b/tests/test_left_out_machines.py
@@ -0,0 +1,110 @@
+"""Machines that are left out for a job: what ends the wait of a job beside room that it does not use.
+
+A machine is left out for a job for a while after the machine failed a task of the job, refused one, or gave one up for
+another job. The rule: once the faults are over, no job is left waiting for 90 s while a machine that fits has room.
+"""
+
+import logging
+
+import pytest
+
+from ramptide.controller.controller import Controller
+from ramptide.placement.bin_packing import ReserveAccess, Room
+from ramptide.scheduling.job_state import JobState
+from ramptide.scheduling.left_out_rooms import LeftOutRooms, count_left_out_rooms
+from virtual import SECOND, World, leader_of, started_world
+
+JOB = "j-100"
+#: The longest time that a job may wait beside room once the faults are over, in seconds.
+MAX_WAIT_S = 90.0
+#: For how long the machines fail or refuse all tasks, in seconds.
+FAULT_S = 10.0
+REPLICA_CPUS = 5.0
+
+
+def controller_of(world: World, name: str) -> Controller:
+    controller = world.nodes[name].controller
+    assert controller is not None
+    return controller
+
+
+def world_of_serving_machines(machine_count: int, members: int = 3) -> World:
+    """Return a world with a replica on each of a few machines, and without capacity for another machine.
+
+    Each machine has 3 CPUs of free room, of which 2 are reserved for services.
+    """
+    world = started_world(3, capacity=machine_count, members=members)
+    world.define_job("j-1", shape="service", pieces=machine_count, cores=REPLICA_CPUS)
+    assert world.submit_until_accepted("j-1", "c0")
+    assert world.run_until(lambda: len({agent.host for agent, _ in running(world, "j-1")}) == machine_count, 30)
+    return world
+
+
+def running(world: World, job_id: str) -> list[tuple[object, object]]:
+    return [(agent, task) for agent, task in world.invariants.running_tasks() if task.job_id == job_id]
+
+
+def submit_to_scheduler(world: World, scheduler: str, job_id: str = JOB, **fields: object) -> None:
+    """Submit a job that is scheduled by the given controller."""
+    world.define_job(job_id, **({"pieces": 6, "cores": 1.0, "guessS": 5.0} | fields))
+    for name in world.controller_names:
+        controller_of(world, name).job_api._choose_scheduler = lambda spec: scheduler
+    assert world.submit_until_accepted(job_id, scheduler)
+
+
+def scheduler_name(world: World, is_leading: bool) -> str:
+    leader = leader_of(world)
+    return leader if is_leading else next(name for name in world.controller_names if name != leader)
+
+
+def failed_hosts(world: World, job_id: str = JOB) -> set[str]:
+    """Return the machines of which the owners report that the job failed there."""
+    return controller_of(world, leader_of(world)).machine_index.hosts_failed_on(job_id)
+
+
+def runs_within_bound(world: World, job_id: str = JOB) -> bool:
+    return world.run_until(lambda: bool(running(world, job_id)) or world.is_done(job_id), MAX_WAIT_S)
+
+
+def world_after_failures(machine_count: int, is_leading: bool) -> World:
+    """Return a world in which a job has failed on all machines that there are, which are well again."""
+    world = world_of_serving_machines(machine_count)
+    for agent in world.agents.values():
+        agent.is_faulty = True
+    submit_to_scheduler(world, scheduler_name(world, is_leading))
+    assert world.run_until(lambda: len(failed_hosts(world)) == machine_count, FAULT_S)
+    world.run(FAULT_S)
+    for agent in world.agents.values():
+        agent.is_faulty = False
+    return world
+
+
+# The log tells why a job waits beside room.
+
+
+def job_state_with_rooms() -> tuple[JobState, list[Room]]:
+    """Return a failing job, and rooms that fit it: one excluded, one where it failed, one reserved, one free."""
+    world = started_world(1, members=1)
+    submit_to_scheduler(world, "c0", cores=2.0)
+    job_state = controller_of(world, "c0").state.require_scheduler().jobs[JOB]
+    job_state.exclude("vm-1", 60 * SECOND)
+    job_state.failed_on = {"vm-1", "vm-2"}
+    rooms = [Room(f"vm-{number}", "m", "a", False, 2.0, 0.0, 32.0) for number in (1, 2, 3, 4)]
+    rooms[2].service_cpus, rooms[2].service_reserve = 6.0, (2.0, 8.0)
+    return job_state, rooms
+
+
+def test_left_out_rooms_are_counted_by_reason() -> None:
+    job_state, rooms = job_state_with_rooms()
+    assert count_left_out_rooms(job_state, rooms, ReserveAccess.POOL, 10 * SECOND) == LeftOutRooms(1, 1, 1, 1)
+    assert count_left_out_rooms(job_state, rooms, ReserveAccess.ALL, 70 * SECOND) == LeftOutRooms(0, 2, 0, 2)
+    for room in rooms:
+        room.cpus = 1.0
+    assert count_left_out_rooms(job_state, rooms, ReserveAccess.ALL, 10 * SECOND) is None
+
+
+def test_log_tells_on_which_machines_a_job_failed_and_why_it_waits(caplog: pytest.LogCaptureFixture) -> None:
+    with caplog.at_level(logging.INFO):
+        world_after_failures(2, is_leading=True).run(40)
+    assert "job backed off: job_id=j-100 backoff_s=2 failed_on='vm-000000, vm-000001'" in caplog.text
+    assert "job waits beside room: job_id=j-100 waited_s=30 excluded=2 failed=0 reserved=0 claimed=0" in caplog.text
