A job that failed on two machines may return to them when there are no others

Cause: a failing job was kept from all machines on which it had failed for as long as these were fewer than `MAX_FAULTY_MACHINES` (3), so that another machine is rented. With exactly two the job counts as failing, and when the cloud has no other machine, the wait has no end: the exclusion of 60 s after a failure had no effect on `failed_on`.

On the virtual clock jobs that failed on 1, 3 and 5 machines finished, those with 2 did not, at the leader and at another controller. Before the change these tests failed: `..._runs_there_once_they_are_well[2-leader]` and `[2-other]`, `test_job_that_failed_on_two_machines_runs_on_the_one_that_is_left_idle`; the test of the next scheduler fails without its exclusions.

Change: when no other room is left, the leader lets such a job return to a machine 60 s after its last failure there. A new scheduler of a failing job counts these 60 s from its start. Until then the demand for another machine stays, so a rental still comes first. That ends the wait because time alone now ends each exclusion.

--- a/src/ramptide/scheduling/allowed_rooms.py
+++ b/src/ramptide/scheduling/allowed_rooms.py
@@ -13,9 +13,10 @@
 ) -> list[Room]:
     """Return the rooms that the job may use, without those on machines that are excluded for it.
 
-    A failing job starts only on machines on which it has not failed yet, in the whole fleet: it must not be confined to
-    the machines of one owner, which may be faulty. When it has failed on many machines and no other room is left, the
-    leader allows any room, so that no machine is rented for the job.
+    A failing job prefers machines on which it has not failed yet, in the whole fleet: it must not be confined to the
+    machines of one owner, which may be faulty, so only the leader allows others. When no other room is left, a job that
+    failed on few machines may return to each once its exclusion is over, as the machine may be well again. A job that
+    failed on many machines may use any room, so that no machine is rented for it.
     """
     job_state.end_exclusions(now)
     excluded = job_state.excluded_until
@@ -23,7 +24,6 @@
     if not job_state.is_failing:
         return not_excluded
     without_failure = [room for room in not_excluded if room.host not in job_state.failed_on]
-    must_avoid = job_state.avoided_hosts or not is_leading
-    if must_avoid or usable_rooms(job_state.job.spec, without_failure, job_state.placed_by_zone, access):
+    if not is_leading or usable_rooms(job_state.job.spec, without_failure, job_state.placed_by_zone, access):
         return without_failure
-    return rooms
+    return rooms if job_state.has_failed_on_many else not_excluded
--- a/src/ramptide/scheduling/failing_jobs.py
+++ b/src/ramptide/scheduling/failing_jobs.py
@@ -43,6 +43,14 @@
             job_state.longest_failed_run = max(job_state.longest_failed_run, now - attempt.running_since)
         self.back_off(job_state, now)
 
+    def add_adopted(self, job_state: JobState, now: timedelta) -> None:
+        """Hold back a job that failed on several machines under its previous scheduler, as after a failure here."""
+        if not job_state.is_failing:
+            return
+        for host in job_state.avoided_hosts:
+            job_state.exclude(host, now + EXCLUDED_AFTER_FAILURE)
+        self.back_off(job_state, now)
+
     def back_off(self, job_state: JobState, now: timedelta) -> None:
         """Delay the next start of a job if it fails wherever it runs."""
         if job_state.is_failing:
--- a/src/ramptide/scheduling/job_scheduler.py
+++ b/src/ramptide/scheduling/job_scheduler.py
@@ -91,7 +91,7 @@
         if job_state is None:
             job_state = JobState(job, job.progress.copy(), now, failed_on=set(failed_on))
             self.jobs[job.job_id] = job_state
-            self.failing_jobs.back_off(job_state, now)
+            self.failing_jobs.add_adopted(job_state, now)
             self.needs_round = True
         elif job_state.job.progress.count > job_state.done.count:
             job_state.done = job.progress.copy()
--- a/src/ramptide/scheduling/job_state.py
+++ b/src/ramptide/scheduling/job_state.py
@@ -69,6 +69,11 @@
         """
         return len(self.failed_on) > 1
 
+    @property
+    def has_failed_on_many(self) -> bool:
+        """Whether the job has failed on so many machines that it is most likely at fault itself."""
+        return len(self.failed_on) >= MAX_FAULTY_MACHINES
+
     @property
     def startable(self) -> int:
         """The number of tasks that may be started and count as waiting: while the job fails at most one, as a probe."""
@@ -82,7 +87,7 @@
 
         These are the machines on which it failed, while they are so few that they may all be faulty.
         """
-        return self.failed_on if len(self.failed_on) < MAX_FAULTY_MACHINES else set()
+        return set() if self.has_failed_on_many else self.failed_on
 
     @property
     def may_claim_room(self) -> bool:
--- a/tests/test_left_out_machines.py
+++ b/tests/test_left_out_machines.py
@@ -5,7 +5,9 @@
 """
 
 import logging
+from collections.abc import Callable
 
+import msgspec
 import pytest
 
 from ramptide.controller.controller import Controller
@@ -62,8 +64,13 @@
     return controller_of(world, leader_of(world)).machine_index.hosts_failed_on(job_id)
 
 
-def runs_within_bound(world: World, job_id: str = JOB) -> bool:
-    return world.run_until(lambda: bool(running(world, job_id)) or world.is_done(job_id), MAX_WAIT_S)
+def finishes_without_long_wait(world: World, job_id: str = JOB) -> bool:
+    """Return whether a job finishes, and a task of it runs again within `MAX_WAIT_S` whenever none runs."""
+    while not world.is_done(job_id):
+        if not world.run_until(lambda: bool(running(world, job_id)) or world.is_done(job_id), MAX_WAIT_S):
+            return False
+        world.run_until(lambda: not running(world, job_id), MAX_WAIT_S)
+    return not world.invariants.violations
 
 
 def world_after_failures(machine_count: int, is_leading: bool) -> World:
@@ -108,3 +115,75 @@
         world_after_failures(2, is_leading=True).run(40)
     assert "job backed off: job_id=j-100 backoff_s=2 failed_on='vm-000000, vm-000001'" in caplog.text
     assert "job waits beside room: job_id=j-100 waited_s=30 excluded=2 failed=0 reserved=0 claimed=0" in caplog.text
+
+
+# After failures: the machines take all tasks again, and there are no others.
+
+
+@pytest.mark.parametrize("is_leading", [True, False], ids=["leader", "other"])
+@pytest.mark.parametrize("machine_count", [1, 2, 3, 5])
+def test_job_that_failed_on_all_machines_runs_there_once_they_are_well(machine_count: int, is_leading: bool) -> None:
+    """A job that had failed on exactly two machines waited for a third one without end."""
+    assert finishes_without_long_wait(world_after_failures(machine_count, is_leading))
+
+
+def world_with_half_of_the_machines_filled() -> tuple[World, set[str]]:
+    """Return a world with room for four machines, and the two machines that services fill."""
+    world = started_world(1, capacity=4)
+    assert world.run_until(lambda: len(world.agents) == 1, 30)
+    world.define_job("j-1", shape="service", pieces=4, cores=4.0)
+    assert world.submit_until_accepted("j-1", "c0")
+    assert world.run_until(lambda: len(running(world, "j-1")) == 4, 30)
+    full_hosts = {agent.host for agent, _ in running(world, "j-1")}
+    assert len(full_hosts) == 2
+    return world, full_hosts
+
+
+def set_faulty_except(world: World, healthy_hosts: set[str]) -> Callable[[], None]:
+    """Let all other machines fail all tasks, also those that are rented later; return a function that ends this."""
+    create_agent = world.cloud._create_agent
+
+    def create_faulty_agent(zone: str, spot: bool) -> str:
+        host = create_agent(zone, spot)
+        world.agents[host].is_faulty = True
+        return host
+
+    def end() -> None:
+        world.cloud._create_agent = create_agent  # type: ignore[method-assign]
+        for agent in world.agents.values():
+            agent.is_faulty = False
+
+    world.cloud._create_agent = create_faulty_agent  # type: ignore[method-assign]
+    for host, agent in world.agents.items():
+        agent.is_faulty = host not in healthy_hosts
+    return end
+
+
+def test_job_that_failed_on_two_machines_runs_on_the_one_that_is_left_idle() -> None:
+    """The idle machine is in the idle pool, where the job was kept from it even after its exclusion had ended."""
+    world, full_hosts = world_with_half_of_the_machines_filled()
+    end_faults = set_faulty_except(world, full_hosts)
+    submit_to_scheduler(world, leader_of(world), cores=2.0)
+    assert world.run_until(lambda: len(failed_hosts(world)) == 2, 2 * FAULT_S)
+    end_faults()
+    world.define_job("j-2", shape="service", pieces=2, cores=4.0)
+    assert world.submit_until_accepted("j-2", "c0")
+    assert finishes_without_long_wait(world)
+
+
+def test_next_scheduler_of_a_job_does_not_return_to_the_two_machines_at_once() -> None:
+    """The machines may still be faulty, so the leader first waits for another machine as the former scheduler would."""
+    world = world_of_serving_machines(2)
+    for agent in world.agents.values():
+        agent.is_faulty = True
+    leader = controller_of(world, leader_of(world))
+    submit_to_scheduler(world, leader.state.member)
+    assert world.run_until(lambda: len(failed_hosts(world)) == 2, FAULT_S)
+    former_state = leader.state.require_scheduler().jobs[JOB]
+    record = msgspec.structs.replace(former_state.job.record, scheduler=scheduler_name(world, is_leading=False))
+    world.store.put(f"live/job/{JOB}", msgspec.to_builtins(record))
+    assert world.run_until(lambda: JOB not in leader.state.require_scheduler().jobs, FAULT_S)
+    assert world.run_until(lambda: JOB in leader.state.require_scheduler().jobs, FAULT_S), "it is handed over"
+    starts_before = world.invariants.starts_by_job[JOB]
+    world.run(30)
+    assert world.invariants.starts_by_job[JOB] == starts_before
