A failing job that has waited for long may use room that is reserved for services

Seen by callers: a job array that had failed on two or more machines, by now well again, stayed pending beside machines whose free room is within the part that is kept for services.

Cause: access to that room comes after `share_wait` without a start, by `JobState.idle_for`, which is zero while the job counts as failing. Without a start the job counted as failing for ever.

Change: the access goes by the time since the last start, which runs also while the job fails. The order of the jobs is as before, and one task at a time, the probe, may use the room.

--- a/src/ramptide/scheduling/job_state.py
+++ b/src/ramptide/scheduling/job_state.py
@@ -105,12 +105,14 @@
         return self.job.spec.kind == BATCH and self.done.count == self.job.spec.task_count
 
     def idle_for(self, now: timedelta, wall: datetime) -> timedelta:
-        """Return for how long no task of the job was started.
+        """Return for how long no task of the job was started, by which the job goes ahead of others.
 
         While the job fails this is zero, as its starts are then held back on purpose.
         """
-        if self.is_failing:
-            return NO_TIME
+        return NO_TIME if self.is_failing else self.time_since_start(now, wall)
+
+    def time_since_start(self, now: timedelta, wall: datetime) -> timedelta:
+        """Return for how long no task of the job was started, also while the job fails."""
         if self.last_started_at is None and not self.placed and not self.done.count:
             return wall - self.job.submitted_at
         return now - (self.last_started_at or self.scheduled_since)
--- a/src/ramptide/scheduling/placement_round.py
+++ b/src/ramptide/scheduling/placement_round.py
@@ -193,9 +193,8 @@
         """
         tuning = self._state.tuning
         idle = job_state.idle_for(now, wall)
-        time_without_room = now - job_state.without_room_since if job_state.without_room_since is not None else NO_TIME
         is_starved = deadline_outlook(job_state.job, idle, wall, tuning.patience) is DeadlineOutlook.STARVED
-        if is_starved or min(idle, time_without_room) > tuning.share_wait:
+        if is_starved or _time_without_room(job_state, now, wall) > tuning.share_wait:
             return ReserveAccess.ALL
         waited = now - job_state.waiting_since if job_state.waiting_since is not None else NO_TIME
         if job_state.is_failing or waited > tuning.long_wait or self._may_claim(job_state, waited):
@@ -303,3 +302,15 @@
     """Return whether every job of equal needs finds room exactly when this job does."""
     spec = job_state.job.spec
     return not job_state.excluded_until and not spec.single_zone and not spec.spread_zones
+
+
+def _time_without_room(job_state: JobState, now: timedelta, wall: datetime) -> timedelta:
+    """Return for how long no task of a job was started although its team's limit lets one run.
+
+    For a failing job the pauses between its probes count as well: they end before the job finds that it has no room,
+    and would add to the wait.
+    """
+    if job_state.without_room_since is None:
+        return NO_TIME
+    unstarted = job_state.time_since_start(now, wall)
+    return unstarted if job_state.is_failing else min(unstarted, now - job_state.without_room_since)
--- a/tests/test_left_out_machines.py
+++ b/tests/test_left_out_machines.py
@@ -6,6 +6,7 @@
 
 import logging
 from collections.abc import Callable
+from dataclasses import replace
 
 import msgspec
 import pytest
@@ -21,7 +22,6 @@
 MAX_WAIT_S = 90.0
 #: For how long the machines fail or refuse all tasks, in seconds.
 FAULT_S = 10.0
-REPLICA_CPUS = 5.0
 
 
 def controller_of(world: World, name: str) -> Controller:
@@ -30,18 +30,27 @@
     return controller
 
 
-def world_of_serving_machines(machine_count: int, members: int = 3) -> World:
+def world_of_serving_machines(machine_count: int) -> World:
     """Return a world with a replica on each of a few machines, and without capacity for another machine.
 
     Each machine has 3 CPUs of free room, of which 2 are reserved for services.
     """
-    world = started_world(3, capacity=machine_count, members=members)
-    world.define_job("j-1", shape="service", pieces=machine_count, cores=REPLICA_CPUS)
+    world = started_world(3, capacity=machine_count)
+    world.define_job("j-1", shape="service", pieces=machine_count, cores=5.0)
     assert world.submit_until_accepted("j-1", "c0")
     assert world.run_until(lambda: len({agent.host for agent, _ in running(world, "j-1")}) == machine_count, 30)
     return world
 
 
+def change_tuning(world: World, **settings: object) -> None:
+    """Change operators' settings on all controllers."""
+    for name in world.controller_names:
+        controller = controller_of(world, name)
+        tuning = replace(controller.state.tuning, **settings)  # type: ignore[arg-type]
+        controller.state.tuning = controller.machine_index.tuning = tuning
+        controller.machine_index.invalidate_all()
+
+
 def running(world: World, job_id: str) -> list[tuple[object, object]]:
     return [(agent, task) for agent, task in world.invariants.running_tasks() if task.job_id == job_id]
 
@@ -187,3 +196,17 @@
     starts_before = world.invariants.starts_by_job[JOB]
     world.run(30)
     assert world.invariants.starts_by_job[JOB] == starts_before
+
+
+# Room that is reserved for services is left for a failing job as well.
+
+
+@pytest.mark.parametrize("is_leading", [True, False], ids=["leader", "other"])
+@pytest.mark.parametrize("machine_count", [1, 2, 3])
+def test_job_that_failed_on_all_machines_runs_when_only_reserved_room_is_left(
+    machine_count: int, is_leading: bool
+) -> None:
+    """A failing job counted as never waiting, so room that is reserved for services was never opened to it."""
+    world = world_after_failures(machine_count, is_leading)
+    change_tuning(world, service_share=0.5)
+    assert finishes_without_long_wait(world)
