A failing job without room no longer stands for other jobs of equal needs

Seen by callers: a healthy job waited beside free room, because an earlier job of equal needs had failed on the machines.

Cause: jobs of equal needs share one failure to find room in a placement round. A job with excluded machines does not stand for others, but a failing job whose exclusions have ended did, although it leaves out the machines on which it failed. At the leader that lasted as long as the wait of a job that failed on two machines, elsewhere until the handover.

Change: `_is_representative` is false for failing jobs.

--- a/src/ramptide/scheduling/placement_round.py
+++ b/src/ramptide/scheduling/placement_round.py
@@ -301,7 +301,8 @@
 def _is_representative(job_state: JobState) -> bool:
     """Return whether every job of equal needs finds room exactly when this job does."""
     spec = job_state.job.spec
-    return not job_state.excluded_until and not spec.single_zone and not spec.spread_zones
+    is_restricted = bool(job_state.excluded_until) or job_state.is_failing
+    return not is_restricted and not spec.single_zone and not spec.spread_zones
 
 
 def _time_without_room(job_state: JobState, now: timedelta, wall: datetime) -> timedelta:
--- a/tests/test_left_out_machines.py
+++ b/tests/test_left_out_machines.py
@@ -15,7 +15,7 @@
 from ramptide.placement.bin_packing import ReserveAccess, Room
 from ramptide.scheduling.job_state import JobState
 from ramptide.scheduling.left_out_rooms import LeftOutRooms, count_left_out_rooms
-from virtual import SECOND, World, leader_of, started_world
+from virtual import SECOND, World, leader_of, owner_of, started_world
 
 JOB = "j-100"
 #: The longest time that a job may wait beside room once the faults are over, in seconds.
@@ -210,3 +210,28 @@
     world = world_after_failures(machine_count, is_leading)
     change_tuning(world, service_share=0.5)
     assert finishes_without_long_wait(world)
+
+
+# A job for which machines are left out does not speak for other jobs.
+
+
+def test_failing_job_does_not_keep_other_jobs_of_equal_needs_from_the_machines_where_it_failed() -> None:
+    """A failing job without room was taken to show that no job of equal needs has room, which then were not tried."""
+    world = world_of_serving_machines(9)
+    change_tuning(world, hand_over=600 * SECOND)
+    leader = leader_of(world)
+    own_hosts = {name: [host for host in world.agents if owner_of(world, host) == name] for name in world.nodes}
+    scheduler = max((name for name in own_hosts if name != leader), key=lambda name: len(own_hosts[name]))
+    machine_count = len(own_hosts[scheduler])
+    assert machine_count > 1
+    for host in own_hosts[scheduler]:
+        world.agents[host].is_faulty = True
+    submit_to_scheduler(world, scheduler, pieces=machine_count)
+    assert world.run_until(lambda: len(failed_hosts(world)) == machine_count, FAULT_S)
+    for agent in world.agents.values():
+        agent.is_faulty = False
+    submit_to_scheduler(world, scheduler, "j-2", pieces=machine_count, guessS=65.0)
+    submit_to_scheduler(world, scheduler, "j-3", pieces=1)
+    assert world.run_until(lambda: world.is_done("j-2"), 90)
+    assert not world.is_done("j-3"), "it has waited for room"
+    assert world.run_until(lambda: bool(running(world, "j-3")), 5)
