No running task is stopped on a machine that the waiting job may not use

Seen by callers: a production job that had failed on a machine started late elsewhere, and tasks of low priority were stopped for nobody.

Cause: the preemptor chose among all machines that the job's specification admits, also those that are excluded for the job after a failure, a refusal or a preemption. What it made room for there was then counted as promised for 5 s.

Evidence: `test_no_task_is_preempted_on_a_machine_where_the_claiming_job_has_just_failed` counted four stopped tasks after the failure instead of two before the change (virtual clock).

Change: excluded machines are left out. A job with excluded machines does not show that no room can be made for jobs of equal needs; `test_room_is_made_for_a_job_although_a_job_of_equal_needs_may_not_use_the_machine` fails with the first half of the change alone.

Result: both tests pass.

--- a/src/ramptide/scheduling/preemption.py
+++ b/src/ramptide/scheduling/preemption.py
@@ -164,7 +164,8 @@
             if key in unmet_claims or not self._may_preempt():
                 continue
             wanted = self._wanted_tasks(job_state, share_used)
-            if wanted > 0 and not self._make_room(job_state, wanted, claims):
+            has_room = wanted <= 0 or self._make_room(job_state, wanted, claims)
+            if not has_room and not job_state.excluded_until:
                 unmet_claims.add(key)
 
     def _is_due(self, now: timedelta) -> bool:
@@ -212,7 +213,7 @@
             return choose_victims(spec, claims.rooms[host], claims.tasks[host], is_claimable, job_state.placed_by_zone)
 
         heap = []
-        for host in self._admitting_hosts(spec, claims):
+        for host in self._admitting_hosts(job_state, claims):
             choice = cheapest_victims(host)
             if choice is not None:
                 heap.append((choice[0], host))
@@ -231,10 +232,11 @@
                 heapq.heappush(heap, (choice[0], host))
         return wanted <= 0
 
-    def _admitting_hosts(self, spec: JobSpec, claims: _Claims) -> Iterator[str]:
-        """Yield the machines that the job may use, after their preemptible tasks were looked up."""
+    def _admitting_hosts(self, job_state: JobState, claims: _Claims) -> Iterator[str]:
+        """Yield the machines on which the job may be started, after their preemptible tasks were looked up."""
+        job_state.end_exclusions(claims.now)
         for host, room in claims.rooms.items():
-            if admits(spec, room):
+            if host not in job_state.excluded_until and admits(job_state.job.spec, room):
                 if host not in claims.tasks:
                     claims.tasks[host] = self._preemptible_tasks(host)
                 yield host
--- a/tests/test_left_out_machines.py
+++ b/tests/test_left_out_machines.py
@@ -235,3 +235,37 @@
     assert world.run_until(lambda: world.is_done("j-2"), 90)
     assert not world.is_done("j-3"), "it has waited for room"
     assert world.run_until(lambda: bool(running(world, "j-3")), 5)
+
+
+# Room is made for a job only where the job may be started.
+
+
+def test_no_task_is_preempted_on_a_machine_where_the_claiming_job_has_just_failed() -> None:
+    """Room was made there, though the job was not started on the machine, and it waited for room elsewhere."""
+    world = started_world(4, capacity=2)
+    world.define_job("j-1", pieces=8, cores=2.0, rank="low", guessS=400.0)
+    assert world.submit_until_accepted("j-1", "c0")
+    assert world.run_until(lambda: len(running(world, "j-1")) == 8, 30)
+    world.agents["vm-000000"].is_faulty = True
+    submit_to_scheduler(world, leader_of(world), pieces=1, cores=4.0, rank="production")
+    assert world.run_until(lambda: failed_hosts(world) == {"vm-000000"}, FAULT_S)
+    preemptions = controller_of(world, leader_of(world)).state.counters
+    preemptions_before = preemptions["preemptions"]
+    assert world.run_until(lambda: world.is_done(JOB), 30)
+    assert preemptions["preemptions"] - preemptions_before == 2, "two tasks made room on the other machine"
+
+
+def test_room_is_made_for_a_job_although_a_job_of_equal_needs_may_not_use_the_machine() -> None:
+    """The other job, which has just failed on the only machine, does not show that no room can be made."""
+    world = started_world(4, capacity=1)
+    world.define_job("j-1", pieces=4, cores=2.0, rank="low", guessS=400.0)
+    assert world.submit_until_accepted("j-1", "c0")
+    assert world.run_until(lambda: len(running(world, "j-1")) == 4, 30)
+    (agent,) = world.agents.values()
+    agent.is_faulty = True
+    submit_to_scheduler(world, leader_of(world), pieces=1, cores=4.0, rank="production")
+    assert world.run_until(lambda: failed_hosts(world) == {agent.host}, FAULT_S)
+    agent.is_faulty = False
+    assert world.run_until(lambda: len(running(world, "j-1")) == 4, 20), "the room is taken again"
+    submit_to_scheduler(world, leader_of(world), "j-2", pieces=1, cores=4.0, rank="production")
+    assert world.run_until(lambda: world.is_done("j-2"), 30)
