Tests: what ends the wait after refusals and preemptions, and on small fleets in general

Need: each place that leaves a machine out for a job needs an answer to what ends the wait, also when the machine is one of all that there are, at the leader and at another controller.

--- a/tests/test_left_out_machines.py
+++ b/tests/test_left_out_machines.py
@@ -15,7 +15,7 @@
 from ramptide.placement.bin_packing import ReserveAccess, Room
 from ramptide.scheduling.job_state import JobState
 from ramptide.scheduling.left_out_rooms import LeftOutRooms, count_left_out_rooms
-from virtual import SECOND, World, leader_of, owner_of, started_world
+from virtual import SECOND, Agent, Task, World, leader_of, owner_of, started_world
 
 JOB = "j-100"
 #: The longest time that a job may wait beside room once the faults are over, in seconds.
@@ -269,3 +269,53 @@
     assert world.run_until(lambda: len(running(world, "j-1")) == 4, 20), "the room is taken again"
     submit_to_scheduler(world, leader_of(world), "j-2", pieces=1, cores=4.0, rank="production")
     assert world.run_until(lambda: world.is_done("j-2"), 30)
+
+
+# After refusals.
+
+
+@pytest.mark.parametrize("is_leading", [True, False], ids=["leader", "other"])
+@pytest.mark.parametrize("machine_count", [1, 2, 3, 5])
+def test_job_that_all_machines_refused_runs_there_once_they_take_tasks(
+    monkeypatch: pytest.MonkeyPatch, machine_count: int, is_leading: bool
+) -> None:
+    """A refusal leaves a machine out only for a moment, however many machines refuse and however often."""
+    world = world_of_serving_machines(machine_count)
+    refused_hosts: set[str] = set()
+
+    def refuse(agent: Agent, task: Task) -> None:
+        refused_hosts.add(agent.host)
+        agent.tasks[task.key] = task
+        agent._end(task, "no_room")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(Agent, "_fetch", refuse)
+        submit_to_scheduler(world, scheduler_name(world, is_leading))
+        assert world.run_until(lambda: len(refused_hosts) == machine_count, FAULT_S)
+        world.run(FAULT_S)
+    assert finishes_without_long_wait(world)
+
+
+# After preemption.
+
+
+@pytest.mark.parametrize("is_leading", [True, False], ids=["leader", "other"])
+@pytest.mark.parametrize("machine_count", [1, 2, 3])
+def test_job_that_was_preempted_on_all_machines_runs_there_once_they_have_room(
+    machine_count: int, is_leading: bool
+) -> None:
+    """The machines are left out for some seconds after the preemption, also for a job that waits for much longer."""
+    world = started_world(3, capacity=machine_count)
+    world.define_job("j-1", shape="service", pieces=machine_count, cores=8.0)
+    assert world.submit_until_accepted("j-1", "c0")
+    assert world.run_until(lambda: len(running(world, "j-1")) == machine_count, 30)
+    submit_to_scheduler(
+        world, scheduler_name(world, is_leading), pieces=machine_count, cores=8.0, rank="low", guessS=60.0
+    )
+    assert world.cancel_job("j-1", "c0")
+    assert world.run_until(lambda: len(running(world, JOB)) == machine_count, 30)
+    submit_to_scheduler(world, leader_of(world), "j-2", pieces=machine_count, cores=8.0, rank="production", guessS=20.0)
+    assert world.run_until(lambda: len(running(world, "j-2")) == machine_count, 30)
+    assert not running(world, JOB)
+    assert world.run_until(lambda: world.is_done("j-2"), 30)
+    assert finishes_without_long_wait(world)
