The access to reserved room and the log of left out rooms leave the placement round

Change: `scheduling.reserve_access` holds the access as a pure function, and `left_out_rooms` its log line.

--- a/src/ramptide/scheduling/left_out_rooms.py
+++ b/src/ramptide/scheduling/left_out_rooms.py
@@ -1,12 +1,18 @@
-"""Why a waiting job uses none of the free rooms into which its tasks fit, for the log. The functions are pure."""
+"""Why a waiting job uses none of the free rooms into which its tasks fit, for the log."""
 
+import logging
 from datetime import timedelta
 from typing import NamedTuple
 
 from ramptide.placement.bin_packing import ReserveAccess, Room, usable_rooms
 from ramptide.scheduling.job_state import JobState
 
-__all__ = ["LeftOutRooms", "count_left_out_rooms"]
+__all__ = ["LeftOutRooms", "count_left_out_rooms", "log_left_out_rooms"]
+
+log = logging.getLogger(__name__)
+
+#: How long a job waits, and how long it waits on, before the log tells which free rooms are left out for it.
+LEFT_OUT_ROOMS_INTERVAL = timedelta(seconds=30)
 
 
 class LeftOutRooms(NamedTuple):
@@ -42,3 +48,21 @@
         reserved=reserved_count,
         claimed=len(unmarked) - reserved_count,
     )
+
+
+def log_left_out_rooms(job_state: JobState, rooms: list[Room], access: ReserveAccess, now: timedelta) -> None:
+    """Log from time to time why a job of which no task was started for long does not use the rooms that fit it."""
+    waiting_since = job_state.waiting_since
+    if waiting_since is None:
+        return
+    if now - max(waiting_since, job_state.left_out_rooms_checked_at) < LEFT_OUT_ROOMS_INTERVAL:
+        return
+    job_state.left_out_rooms_checked_at = now
+    left_out = count_left_out_rooms(job_state, rooms, access, now)
+    if left_out is not None:
+        log.info(
+            "job waits beside room: job_id=%s waited_s=%.0f excluded=%d failed=%d reserved=%d claimed=%d",
+            job_state.job.job_id,
+            (now - waiting_since).total_seconds(),
+            *left_out,
+        )
--- a/src/ramptide/scheduling/placement_round.py
+++ b/src/ramptide/scheduling/placement_round.py
@@ -1,6 +1,5 @@
 """The placement round, which decides which waiting tasks of this controller's jobs start on which machines."""
 
-import logging
 import math
 from collections import Counter
 from collections.abc import Callable
@@ -23,20 +22,15 @@
 from ramptide.scheduling.headroom import UNLIMITED, task_headroom
 from ramptide.scheduling.job_scheduler import JobScheduler
 from ramptide.scheduling.job_state import JobState
-from ramptide.scheduling.left_out_rooms import count_left_out_rooms
+from ramptide.scheduling.left_out_rooms import log_left_out_rooms
+from ramptide.scheduling.reserve_access import reserve_access
 from ramptide.scheduling.rooms import RoomFinder
-from ramptide.scheduling.urgency import DeadlineOutlook, deadline_outlook
 from ramptide.scheduling.urgency_order import GuaranteeUsage, UrgencyOrder
 from ramptide.state.amounts import ZERO_AMOUNTS, Amounts, TeamAmounts, add_amounts, amounts_of
 from ramptide.transport.runtime import Runtime
 
 __all__ = ["PlacementRound"]
 
-log = logging.getLogger(__name__)
-
-NO_TIME = timedelta(0)
-#: How long a job waits, and how long it waits on, before the log tells which free rooms are left out for it.
-LEFT_OUT_ROOMS_INTERVAL = timedelta(seconds=30)
 #: The part of an array's tasks that may start in one round when the array has waited so long that it may use all room.
 STARVED_TASKS_RATIO = 0.1
 
@@ -138,9 +132,10 @@
         job_states = self._filter_by_size(job_states, placement)
         urgency_of = self._urgency_order.urgency_of
         job_states.sort(key=lambda job_state: urgency_of(job_state.job, job_state.idle_for(now, wall), wall))
+        is_within_guarantee = self._quota.is_within_guarantee if self._quota is not None else None
         unplaceable: set[tuple[object, ...]] = set()
         for job_state in job_states:
-            access = self._reserve_access(job_state, now, wall)
+            access = reserve_access(job_state, now, wall, self._state.tuning, is_within_guarantee)
             key = (placement_needs(job_state.job.spec), access)
             is_short = key in unplaceable or self._place_job(job_state, access, placement)
             if is_short and _is_representative(job_state):
@@ -184,32 +179,6 @@
         share = self._state.quota_shares.get(spec.team, ZERO_AMOUNTS)
         return task_headroom(spec, used.get(spec.team, ZERO_AMOUNTS), share, self._state.limits)
 
-    def _reserve_access(self, job_state: JobState, now: timedelta, wall: datetime) -> ReserveAccess:
-        """Return how much of the room that is reserved for services the job may use.
-
-        After a long wait the job may use the idle machines of the pool: when the cloud has no capacity to rent, a pool
-        that stays idle has no benefit. The reserve on machines that run services is used last, but a job does not wait
-        for long while room is unused.
-        """
-        tuning = self._state.tuning
-        idle = job_state.idle_for(now, wall)
-        is_starved = deadline_outlook(job_state.job, idle, wall, tuning.patience) is DeadlineOutlook.STARVED
-        if is_starved or _time_without_room(job_state, now, wall) > tuning.share_wait:
-            return ReserveAccess.ALL
-        waited = now - job_state.waiting_since if job_state.waiting_since is not None else NO_TIME
-        if job_state.is_failing or waited > tuning.long_wait or self._may_claim(job_state, waited):
-            return ReserveAccess.POOL
-        return ReserveAccess.NONE
-
-    def _may_claim(self, job_state: JobState, waited: timedelta) -> bool:
-        """Return whether running tasks may soon be preempted for the job, within its team's guarantee.
-
-        The job may use an idle machine of the pool instead, which costs less than a preemption.
-        """
-        if self._quota is None or waited < self._state.tuning.preempt_after:
-            return False
-        return self._quota.is_within_guarantee(job_state.job.spec)
-
     def _place_job(self, job_state: JobState, access: ReserveAccess, placement: _Round) -> bool:
         """Start tasks of one job; return whether fewer tasks found room than may be started."""
         spec = job_state.job.spec
@@ -229,26 +198,9 @@
             add_amounts(placement.used, spec.team, amounts_of(spec).times(started))
             self._state.counters["starts"] += started
         if is_short and not started:
-            self._log_left_out_rooms(job_state, access, placement)
+            log_left_out_rooms(job_state, placement.rooms, access, placement.now)
         return is_short
 
-    @staticmethod
-    def _log_left_out_rooms(job_state: JobState, access: ReserveAccess, placement: _Round) -> None:
-        """Log from time to time why a job that has waited for long does not use the rooms that fit it."""
-        now = placement.now
-        since = max(job_state.waiting_since or now, job_state.left_out_rooms_checked_at)
-        if now - since < LEFT_OUT_ROOMS_INTERVAL:
-            return
-        job_state.left_out_rooms_checked_at = now
-        left_out = count_left_out_rooms(job_state, placement.rooms, access, now)
-        if left_out is not None:
-            log.info(
-                "job waits beside room: job_id=%s waited_s=%.0f excluded=%d failed=%d reserved=%d claimed=%d",
-                job_state.job.job_id,
-                (now - (job_state.waiting_since or now)).total_seconds(),
-                *left_out,
-            )
-
     def _start_replicas(
         self, job_state: JobState, rooms: list[Room], access: ReserveAccess, allowed: int, placement: _Round
     ) -> bool:
@@ -303,15 +255,3 @@
     spec = job_state.job.spec
     is_restricted = bool(job_state.excluded_until) or job_state.is_failing
     return not is_restricted and not spec.single_zone and not spec.spread_zones
-
-
-def _time_without_room(job_state: JobState, now: timedelta, wall: datetime) -> timedelta:
-    """Return for how long no task of a job was started although its team's limit lets one run.
-
-    For a failing job the pauses between its probes count as well: they end before the job finds that it has no room,
-    and would add to the wait.
-    """
-    if job_state.without_room_since is None:
-        return NO_TIME
-    unstarted = job_state.time_since_start(now, wall)
-    return unstarted if job_state.is_failing else min(unstarted, now - job_state.without_room_since)
