--- a/tests/test_left_out_machines.py
+++ b/tests/test_left_out_machines.py
@@ -319,3 +319,22 @@
     assert not running(world, JOB)
     assert world.run_until(lambda: world.is_done("j-2"), 30)
     assert finishes_without_long_wait(world)
+
+
+# After quarantine.
+
+
+def test_jobs_run_on_other_machines_after_all_machines_were_quarantined() -> None:
+    """Quarantined machines take no tasks and are returned, so that others can be rented."""
+    world = started_world(3, capacity=2)
+    for job_id in ("j-1", "j-2"):
+        world.define_job(job_id, pieces=24, cores=2.0, guessS=4.0)
+        assert world.submit_until_accepted(job_id, "c0")
+    assert world.run_until(lambda: len(world.invariants.succeeded_tasks) > 8, 60)
+    faulty_agents = [agent for agent in world.agents.values() if agent.alive]
+    assert len(faulty_agents) == 2
+    for agent in faulty_agents:
+        agent.is_faulty = True
+    assert world.run_until(lambda: not any(agent.alive for agent in faulty_agents), 90), "they are returned"
+    assert finishes_without_long_wait(world, "j-1")
+    assert finishes_without_long_wait(world, "j-2")
