The choice of tasks to be stopped is a type of its own

Need: `choose_victims` returned a pair whose parts were read by number, and the sort key of a task was a bare tuple.

Change: `VictimChoice` and `_StopOrder`. The test of the choice reads the same values by name. No behaviour changes.

--- a/src/ramptide/scheduling/preemption.py
+++ b/src/ramptide/scheduling/preemption.py
@@ -19,7 +19,7 @@
 from ramptide.scheduling.placement_round import LeadershipInfo
 from ramptide.scheduling.rooms import RoomFinder
 from ramptide.scheduling.urgency_order import UrgencyOrder
-from ramptide.scheduling.victims import RunningTask, choose_victims, may_claim
+from ramptide.scheduling.victims import RunningTask, VictimChoice, choose_victims, may_claim
 from ramptide.state.amounts import ZERO_AMOUNTS, TeamAmounts, add_amounts, amounts_of
 from ramptide.state.jobs import Job
 from ramptide.state.records import MachineRecord
@@ -209,14 +209,14 @@
                 claimable_by_key[key] = may_claim(spec, victim, claims.used, self._state.guarantees)
             return claimable_by_key[key]
 
-        def cheapest_victims(host: str) -> tuple[float, list[RunningTask]] | None:
+        def cheapest_victims(host: str) -> VictimChoice | None:
             return choose_victims(spec, claims.rooms[host], claims.tasks[host], is_claimable, job_state.placed_by_zone)
 
         heap = []
         for host in self._admitting_hosts(job_state, claims):
             choice = cheapest_victims(host)
             if choice is not None:
-                heap.append((choice[0], host))
+                heap.append((choice.cost, host))
         heapq.heapify(heap)
         while wanted > 0 and heap and self._may_preempt():
             _, host = heapq.heappop(heap)
@@ -224,12 +224,12 @@
             choice = cheapest_victims(host)
             if choice is None:
                 continue
-            self._preempt(spec, host, choice[1], claims)
+            self._preempt(spec, host, choice.tasks, claims)
             claimable_by_key.clear()
             wanted -= 1
             choice = cheapest_victims(host)
             if choice is not None:
-                heapq.heappush(heap, (choice[0], host))
+                heapq.heappush(heap, (choice.cost, host))
         return wanted <= 0
 
     def _admitting_hosts(self, job_state: JobState, claims: _Claims) -> Iterator[str]:
--- a/src/ramptide/scheduling/victims.py
+++ b/src/ramptide/scheduling/victims.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from ramptide.placement.bin_packing import Room, admits, zone_headroom
 from ramptide.protocol.jobs import PRIORITIES, SERVICE, JobSpec
@@ -29,6 +30,21 @@
         return (self.spec.job_id, self.task_index, self.attempt)
 
 
+class VictimChoice(NamedTuple):
+    """The tasks that are stopped on a machine to make room for one task, and what stopping them costs."""
+
+    cost: float
+    tasks: list[RunningTask]
+
+
+class _StopOrder(NamedTuple):
+    """The sort key of a running task, lowest for the one that is stopped first; the ids break ties."""
+
+    cost: float
+    job_id: str
+    task_index: int
+
+
 def may_claim(
     spec: JobSpec,
     victim: JobSpec,
@@ -66,25 +82,25 @@
     tasks: Iterable[RunningTask],
     is_claimable: Callable[[JobSpec], bool],
     placed_by_zone: Mapping[str, int],
-) -> tuple[float, list[RunningTask]] | None:
-    """Return the cost of making room on a machine for one task of the job, and the tasks to be stopped for it.
+) -> VictimChoice | None:
+    """Return the tasks to be stopped on a machine to make room for one task of the job.
 
     The result is None when no room can be made, or when a task fits without stopping any.
     """
     if not admits(spec, room) or not zone_headroom(spec, room.zone, placed_by_zone):
         return None
-    trial, cost, chosen = room.copy(), 0.0, []
-    for task in sorted((task for task in tasks if is_claimable(task.spec)), key=_stop_cost):
+    trial = room.copy()
+    choice = VictimChoice(0.0, [])
+    for task in sorted((task for task in tasks if is_claimable(task.spec)), key=_stop_order):
         if trial.count_fitting_tasks(spec):
             break
         trial.allocate(task.spec, -1)
-        chosen.append(task)
-        cost += _stop_cost(task)[0]
-    return (cost, chosen) if chosen and trial.count_fitting_tasks(spec) else None
+        choice = VictimChoice(choice.cost + _stop_order(task).cost, [*choice.tasks, task])
+    return choice if choice.tasks and trial.count_fitting_tasks(spec) else None
 
 
-def _stop_cost(task: RunningTask) -> tuple[float, str, int]:
-    """Return the sort key of a task: the cost of stopping it, then the job id and the task index to break ties.
+def _stop_order(task: RunningTask) -> _StopOrder:
+    """Return the sort key of a task.
 
     The cost is low for a task that saves checkpoints, grows with the estimated run time for other batch tasks, and is
     highest for a replica of a service.
@@ -96,8 +112,5 @@
         cost = spec.checkpoint_cost_s
     else:
         cost = spec.estimated_runtime_s
-    return (
-        cost * max(spec.cpus, 1.0) + PRIORITY_STOP_COST * PRIORITIES.index(spec.priority),
-        spec.job_id,
-        task.task_index,
-    )
+    weighted_cost = cost * max(spec.cpus, 1.0) + PRIORITY_STOP_COST * PRIORITIES.index(spec.priority)
+    return _StopOrder(weighted_cost, spec.job_id, task.task_index)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -212,13 +212,13 @@
     tasks = [RunningTask(long_job, 0, 1), RunningTask(short_job, 1, 2)]
     choice = choose_victims(spec_of(rank="high"), room, tasks, lambda spec: True, {})
     assert choice is not None
-    assert [task.attempt for task in choice[1]] == [2]
+    assert [task.attempt for task in choice.tasks] == [2]
     cheaper_choice = choose_victims(
         spec_of(rank="high"), room, [*tasks, RunningTask(checkpointing_job, 3, 4)], lambda spec: True, {}
     )
     assert cheaper_choice is not None
-    assert [task.attempt for task in cheaper_choice[1]] == [4]
-    assert cheaper_choice[0] < choice[0]
+    assert [task.attempt for task in cheaper_choice.tasks] == [4]
+    assert cheaper_choice.cost < choice.cost
     assert choose_victims(spec_of(rank="high"), room, tasks, lambda spec: False, {}) is None
 
 
