Preemption and placement ask one function which machines a job may use

Need: the preemptor had left out excluded machines by a test of its own, beside `allowed_rooms`.

Change: it asks `allowed_rooms`. No behaviour changes, as a failing job claims no room.

--- a/src/ramptide/scheduling/preemption.py
+++ b/src/ramptide/scheduling/preemption.py
@@ -10,9 +10,10 @@
 
 from ramptide.cluster.machine_index import MachineIndex
 from ramptide.config.tuning import Tuning
-from ramptide.placement.bin_packing import Room, admits, placement_needs
+from ramptide.placement.bin_packing import ReserveAccess, Room, admits, placement_needs
 from ramptide.protocol.agents import TaskStatus
 from ramptide.protocol.jobs import JobSpec
+from ramptide.scheduling.allowed_rooms import allowed_rooms
 from ramptide.scheduling.headroom import task_headroom
 from ramptide.scheduling.job_scheduler import JobScheduler
 from ramptide.scheduling.job_state import JobState
@@ -234,12 +235,13 @@
 
     def _admitting_hosts(self, job_state: JobState, claims: _Claims) -> Iterator[str]:
         """Yield the machines on which the job may be started, after their preemptible tasks were looked up."""
-        job_state.end_exclusions(claims.now)
-        for host, room in claims.rooms.items():
-            if host not in job_state.excluded_until and admits(job_state.job.spec, room):
-                if host not in claims.tasks:
-                    claims.tasks[host] = self._preemptible_tasks(host)
-                yield host
+        rooms = [*claims.rooms.values()]
+        # Only a failing job has rooms that depend on its access, and such a job claims no room.
+        for room in allowed_rooms(job_state, rooms, ReserveAccess.NONE, claims.now, is_leading=True):
+            if admits(job_state.job.spec, room):
+                if room.host not in claims.tasks:
+                    claims.tasks[room.host] = self._preemptible_tasks(room.host)
+                yield room.host
 
     def _preempt(self, claimant: JobSpec, host: str, preempted: list[RunningTask], claims: _Claims) -> None:
         """Preempt tasks on a machine for one task of the claimant."""
