Test: a job that failed on the only two machines, on real processes

The regression tests were on the virtual clock.

Change: a test of three processes on loopback with two machines and no capacity for a third one.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -7,6 +7,7 @@
 import json
 import socket
 from collections.abc import Iterator
+from contextlib import closing
 from pathlib import Path
 
 import pytest
@@ -14,6 +15,9 @@
 from virtual import job_spec
 from virtual.loopback import LoopbackWorld
 
+#: The longest time that a job may wait beside room once the faults are over, in seconds.
+MAX_WAIT_S = 90.0
+
 
 @pytest.fixture
 def world(tmp_path: Path) -> Iterator[LoopbackWorld]:
@@ -61,3 +65,43 @@
     assert json.loads(reply.body)["status"] == "done"
     assert world.invariants.violations == []
     assert all(process.poll() is None for process in world.processes.values())
+
+
+def test_job_that_failed_on_the_only_two_machines_runs_there_once_they_are_well(tmp_path: Path) -> None:
+    """A job that had failed on exactly two machines waited without end when there were no others."""
+    with closing(LoopbackWorld(tmp_path, capacity=2)) as world:
+        for name in world.controller_names:
+            world.start(name)
+        submit(world, "j-1", shape="service", pieces=2, cores=5.0)
+        assert world.serve_until(lambda: len({agent.host for agent, _ in world.invariants.running_tasks()}) == 2, 30)
+        for agent in world.agents.values():
+            agent.is_faulty = True
+        submit(world, "j-2", pieces=2, cores=1.0)
+        failed_hosts: set[str] = set()
+
+        def has_failed_on_both() -> bool:
+            failed_hosts.update(
+                agent.host
+                for agent in world.agents.values()
+                for task in agent.tasks.values()
+                if task.job_id == "j-2" and task.cause == "error"
+            )
+            return len(failed_hosts) == 2
+
+        assert world.serve_until(has_failed_on_both, 20)
+        for agent in world.agents.values():
+            agent.is_faulty = False
+
+        def is_running() -> bool:
+            return any(task.job_id == "j-2" for _, task in world.invariants.running_tasks())
+
+        assert world.serve_until(is_running, MAX_WAIT_S)
+        assert world.serve_until(lambda: world.is_done("j-2"), MAX_WAIT_S)
+        assert world.invariants.violations == []
+
+
+def submit(world: LoopbackWorld, job_id: str, **fields: object) -> None:
+    """Submit a job until it is accepted."""
+    world.job_specs[job_id] = job_spec(job_id, **fields)
+    body = json.dumps(world.job_specs[job_id]).encode()
+    assert world.serve_until(lambda: world.request_status("c0", "POST", "/v2/runs", body) in (200, 201), 20)
