The counter-check of failing jobs at team limits turns off both protections

What its comment named, the share that the job asks for, has a check of its own: for one task at most, and for over 50 of its 100 tasks when it does not count as failing.

--- a/tests/test_failing_jobs.py
+++ b/tests/test_failing_jobs.py
@@ -25,6 +25,8 @@
 from ramptide.scheduling.failing_jobs import FailingJobs
 from ramptide.scheduling.job_scheduler import JobScheduler
 from ramptide.scheduling.job_state import JobState
+from ramptide.scheduling.own_demand import own_demand
+from ramptide.state.amounts import ZERO_AMOUNTS
 from ramptide.state.records import MachineRecord
 from virtual import SECOND, World, check_indexes, end_faults, leader_of, owner_of, play_history, started_world
 
@@ -501,14 +503,41 @@
     assert other_jobs_finish()
 
 
-def test_failing_job_holds_up_teams_at_their_limits_when_it_does_not_count_as_failing(
+def test_failing_job_holds_up_teams_at_their_limits_when_it_does_not_count_as_failing_and_no_machine_is_excluded(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """The job then asks for share for all its tasks instead of one."""
+    """The job then takes the room and its team's share again and again."""
     monkeypatch.setattr(JobState, "is_failing", property(lambda self: False))
+    monkeypatch.setattr(JobState, "exclude", lambda self, host, until: None)
     assert not other_jobs_finish()
 
 
+def share_asked_for_by_failing_job() -> float:
+    """Return how many CPUs of its team's limit a failing job of many tasks of 2 CPUs asks for at most in a minute."""
+    world = started_world(7, teams={"one": 12.0}, capacity=8)
+    (job_id,) = submit_failing_jobs(world, 1, 0.3, owner="one", pieces=100, cores=2.0, rank="high")
+    world.run(20)
+    asked = []
+    for _ in range(60):
+        world.run(1)
+        for controller in live_controllers(world):
+            scheduler = controller.state.require_scheduler()
+            if job_id in scheduler.jobs:
+                asked.append(own_demand(scheduler, world.now).get("one", ZERO_AMOUNTS).cpus)
+    return max(asked)
+
+
+def test_failing_job_asks_for_the_share_of_one_task_at_most() -> None:
+    assert share_asked_for_by_failing_job() <= 2.0
+
+
+def test_failing_job_asks_for_the_share_of_all_its_tasks_when_it_does_not_count_as_failing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(JobState, "is_failing", property(lambda self: False))
+    assert share_asked_for_by_failing_job() > 100.0
+
+
 def test_failing_job_does_not_count_as_long_waiting() -> None:
     world = started_world(5, capacity=6)
     (job_id,) = submit_failing_jobs(world, 1, 0.3, pieces=8)
