--- a/src/ramptide/scheduling/allowed_rooms.py
+++ b/src/ramptide/scheduling/allowed_rooms.py
@@ -1,4 +1,4 @@
-"""Which free rooms a job may use, without those on machines that are left out for it. The functions are pure."""
+"""Which free rooms a job may use, without those on machines that are left out for it."""
 
 from datetime import timedelta
 
