Logs and metrics tell why a stop, a start or an answer to an agent was allowed or held back

Need: the records of a cancelled task that ran on cannot tell a stop that was not sent from one that was not carried out, nor which revision of the records a controller acted on.

Change, without a change of behaviour: the lines `task stops` (what became of stops, among them those held back as the agent has not seen the token), `heartbeats refused` (by reason) and `authority changed` (whether this controller may reply and start, the revision and age of the records, the ages of the proofs); `view changed` and `records loaded` name a revision; counters heartbeats_total and task_stops_total by outcome.

--- a/src/ramptide/agents/heartbeats.py
+++ b/src/ramptide/agents/heartbeats.py
@@ -9,9 +9,20 @@
 
 from ramptide.agents.owned_machine import HeartbeatId, OwnedMachine
 from ramptide.agents.shard import Shard
+from ramptide.agents.statistics import AgentStatistics, HeartbeatOutcome, StopOutcome
 from ramptide.cluster.view import View
 from ramptide.config.tuning import Tuning
-from ramptide.protocol.agents import Heartbeat, decode_heartbeat, encode_heartbeat_reply, encode_redirect
+from ramptide.protocol.agents import (
+    Command,
+    Heartbeat,
+    TaskStatus,
+    decode_heartbeat,
+    decode_task_reports,
+    encode_heartbeat_reply,
+    encode_redirect,
+    parse_task_id,
+)
+from ramptide.protocol.jobs import JobSpec
 from ramptide.protocol.types import MessageError, encode_json
 from ramptide.state.watch_cache import WatchCache
 from ramptide.transport.runtime import Runtime
@@ -50,6 +61,9 @@
     def owner_of(self, host: str) -> str:
         """Return the member that owns a machine."""
 
+    def find_spec(self, job_id: str) -> JobSpec | None:
+        """Return the spec of an unfinished job; None for any other job."""
+
 
 class ReplyAuthority(Protocol):
     """The authority of this controller towards agents at present."""
@@ -68,6 +82,7 @@
 class HeldHeartbeat:
     """A heartbeat whose reply is delayed for a short time, in case a task is started on the machine."""
 
+    heartbeat: Heartbeat
     reply: ReplyCallback
     due_at: timedelta
 
@@ -76,23 +91,29 @@
     """Replies to the agents' heartbeats, to some of them with a delay."""
 
     def __init__(
-        self, runtime: Runtime, state: HeartbeatState, authority: ReplyAuthority, watch_cache: WatchCache
+        self,
+        runtime: Runtime,
+        state: HeartbeatState,
+        authority: ReplyAuthority,
+        watch_cache: WatchCache,
+        statistics: AgentStatistics,
     ) -> None:
         self._runtime = runtime
         self._state = state
         self._authority = authority
         self._watch_cache = watch_cache
+        self._statistics = statistics
         self._held: dict[str, HeldHeartbeat] = {}
 
     def on_new_view(self) -> None:
         """Reply to all held heartbeats, so that agents learn their owners and the new fencing token at once."""
         held, self._held = self._held, {}
-        for host, heartbeat in held.items():
+        for host, waiting in held.items():
             if self._authority.may_reply() and self._state.owner_of(host) != self._state.member:
                 owner = self._state.owner_of(host)
-                heartbeat.reply(HTTPStatus.MISDIRECTED_REQUEST, encode_redirect(owner))
+                waiting.reply(HTTPStatus.MISDIRECTED_REQUEST, encode_redirect(owner))
             else:
-                self._reply(host, heartbeat.reply)
+                self._reply(waiting.heartbeat, waiting.reply)
 
     def reject_held_heartbeat(self, host: str) -> None:
         """Reply with status 503 to the held heartbeat of a machine, if there is one."""
@@ -109,34 +130,41 @@
             return
         view, shard = self._state.view, self._state.shard
         if view is None or self._watch_cache.current_as_of is None:
-            reply(HTTPStatus.SERVICE_UNAVAILABLE, TRY_ELSEWHERE)
+            self._refuse(heartbeat.host, HeartbeatOutcome.NO_RECORDS, reply)
             return
         owner = self._state.owner_of(heartbeat.host)
         if owner != self._state.member:
-            self._redirect(owner, reply)
-        elif shard is None or not self._authority.may_reply() or heartbeat.fencing_token > view.number:
-            reply(HTTPStatus.SERVICE_UNAVAILABLE, TRY_ELSEWHERE)
+            self._redirect(heartbeat.host, owner, reply)
+        elif shard is None or not self._authority.may_reply():
+            self._refuse(heartbeat.host, HeartbeatOutcome.NO_AUTHORITY, reply)
+        elif heartbeat.fencing_token > view.number:
+            self._refuse(heartbeat.host, HeartbeatOutcome.NEWER_TOKEN, reply)
         else:
             self._apply_heartbeat(shard, heartbeat, reply)
 
+    def _refuse(self, host: str, outcome: HeartbeatOutcome, reply: ReplyCallback) -> None:
+        self._statistics.record_heartbeat(outcome, host)
+        reply(HTTPStatus.SERVICE_UNAVAILABLE, TRY_ELSEWHERE)
+
     def _apply_heartbeat(self, shard: Shard, heartbeat: Heartbeat, reply: ReplyCallback) -> None:
         """Apply a heartbeat of a machine that this controller owns, and reply to it or hold it."""
         host = heartbeat.host
         try:
             is_new = shard.heartbeats.apply(heartbeat, self._runtime.now)
         except MessageError as error:
+            self._statistics.record_heartbeat(HeartbeatOutcome.INVALID, host)
             reply(HTTPStatus.BAD_REQUEST, encode_json({"error": str(error)}))
             return
         if not is_new:
             # A late copy must not consume a command, nor count as answered.
-            reply(HTTPStatus.SERVICE_UNAVAILABLE, TRY_ELSEWHERE)
+            self._refuse(host, HeartbeatOutcome.OUT_OF_DATE, reply)
             return
         self.reject_held_heartbeat(host)
         machine = shard.machines.get(host)
         if machine is not None and self._can_hold_reply(machine) and not shard.commands.has_unsent_commands(host):
-            self._held[host] = HeldHeartbeat(reply, self._runtime.now + self._state.tuning.hold)
+            self._held[host] = HeldHeartbeat(heartbeat, reply, self._runtime.now + self._state.tuning.hold)
             return
-        self._reply(host, reply)
+        self._reply(heartbeat, reply)
 
     def receive_direct_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Apply the heartbeat with which an agent responded to the announcement of the view's fencing token.
@@ -161,11 +189,12 @@
         if is_new:
             machine.no_other_owner_since = max(machine.no_other_owner_since, now)
 
-    def _redirect(self, owner: str, reply: ReplyCallback) -> None:
+    def _redirect(self, host: str, owner: str, reply: ReplyCallback) -> None:
         if self._authority.may_renew():
+            self._statistics.record_heartbeat(HeartbeatOutcome.REDIRECTED, host)
             reply(HTTPStatus.MISDIRECTED_REQUEST, encode_redirect(owner))
         else:
-            reply(HTTPStatus.SERVICE_UNAVAILABLE, TRY_ELSEWHERE)
+            self._refuse(host, HeartbeatOutcome.NO_AUTHORITY, reply)
 
     def _can_hold_reply(self, machine: OwnedMachine) -> bool:
         """Return whether the reply can wait for a start, as no task is there whose end would be reported."""
@@ -178,17 +207,31 @@
             and machine.runs_only_services()
         )
 
-    def _reply(self, host: str, reply: ReplyCallback) -> None:
-        view, shard = self._state.view, self._state.shard
+    def _reply(self, heartbeat: Heartbeat, reply: ReplyCallback) -> None:
+        view, shard, host = self._state.view, self._state.shard, heartbeat.host
         if shard is None or view is None or not self._authority.may_reply():
-            reply(HTTPStatus.SERVICE_UNAVAILABLE, TRY_ELSEWHERE)
+            self._refuse(host, HeartbeatOutcome.NO_AUTHORITY, reply)
             return
         machine, now = shard.machines.get(host), self._runtime.now
         commands = shard.commands.prepare_commands(host, now, self._authority.may_start())
         if machine is not None:
             machine.last_reply_at = now
+        self._record_stops(heartbeat, machine, commands)
+        self._statistics.record_heartbeat(HeartbeatOutcome.ACCEPTED, host)
         reply(HTTPStatus.OK, encode_heartbeat_reply(view.number, commands))
 
+    def _record_stops(self, heartbeat: Heartbeat, machine: OwnedMachine | None, commands: list[Command]) -> None:
+        """Record which stops the reply to a heartbeat carries, and which it lacks."""
+        stopped = [command.task_id for command in commands if command.verb == "kill"]
+        self._statistics.record_stops(StopOutcome.SENT_IN_REPLY, heartbeat.host, stopped)
+        if machine is None or not machine.has_current_token:
+            held = [
+                report.task_id
+                for report in decode_task_reports(heartbeat.raw_tasks)
+                if report.status != TaskStatus.ENDED and self._state.find_spec(parse_task_id(report.task_id)[0]) is None
+            ]
+            self._statistics.record_stops(StopOutcome.HELD_TOKEN_NOT_SEEN, heartbeat.host, held)
+
     def reply_to_held(self, now: timedelta) -> None:
         """Reply to the held heartbeats whose reply is due or whose machines have unsent commands."""
         shard = self._state.shard
@@ -198,6 +241,6 @@
             )
             if held.due_at <= now or has_commands:
                 del self._held[host]
-                self._reply(host, held.reply)
+                self._reply(held.heartbeat, held.reply)
         if shard is not None:
             shard.hosts_to_notify.clear()
--- a/src/ramptide/api/metrics.py
+++ b/src/ramptide/api/metrics.py
@@ -11,6 +11,7 @@
 from prometheus_client import CONTENT_TYPE_LATEST, CollectorRegistry, ProcessCollector, generate_latest
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
+from ramptide.agents.statistics import AgentStatistics, HeartbeatOutcome, StopOutcome
 from ramptide.api.status import ObservedState
 from ramptide.api.telemetry import StallDetector, Telemetry, Unavailable
 from ramptide.autoscaling.autoscaler import Autoscaler
@@ -68,6 +69,7 @@
         autoscaler: Autoscaler,
         team_usage: TeamUsageReport,
         telemetry: Telemetry,
+        agent_statistics: AgentStatistics,
         unavailable_dependencies: Callable[[], list[str]],
         quota_metrics: "Callable[[], Iterator[Metric]] | None",
         process: ProcessStatistics | None,
@@ -80,6 +82,7 @@
         self._autoscaler = autoscaler
         self._team_usage = team_usage
         self._telemetry = telemetry
+        self._agent_statistics = agent_statistics
         self._unavailable_dependencies = unavailable_dependencies
         self._quota_metrics = quota_metrics
         self._process = process
@@ -103,6 +106,7 @@
         yield from membership_metrics(self._telemetry)
         yield from answer_metrics(self._telemetry)
         yield from lease_metrics(self._telemetry)
+        yield from agent_metrics(self._agent_statistics)
         yield from stall_metrics(self._telemetry.stall_detector)
         if self._process is not None:
             yield from process_metrics(self._process, self._runtime.now)
@@ -193,6 +197,18 @@
     )
 
 
+def agent_metrics(statistics: AgentStatistics) -> "Iterator[Metric]":
+    """Yield the number of heartbeats and of stops of tasks, by what became of them."""
+    heartbeats = CounterMetricFamily("ramptide_heartbeats", "heartbeats of agents by outcome", labels=("outcome",))
+    for outcome in HeartbeatOutcome:
+        heartbeats.add_metric((outcome.value,), statistics.heartbeats[outcome])
+    yield heartbeats
+    stops = CounterMetricFamily("ramptide_task_stops", "stops of tasks by outcome", labels=("outcome",))
+    for stop in StopOutcome:
+        stops.add_metric((stop.value,), statistics.stops[stop])
+    yield stops
+
+
 def stall_metrics(stall_detector: StallDetector) -> "Iterator[Metric]":
     """Yield the number and the total time of the controller's stalls."""
     yield CounterMetricFamily(
--- a/src/ramptide/cluster/membership.py
+++ b/src/ramptide/cluster/membership.py
@@ -182,8 +182,13 @@
             return
         self.view = view
         self.view_revision = mod_revision
-        members = ", ".join(view.members)
-        log.info("view changed: view=%d leader=%s members=%r", view.number, view.leader, members)
+        log.info(
+            "view changed: view=%d leader=%s members=%r revision=%d",
+            view.number,
+            view.leader,
+            ", ".join(view.members),
+            mod_revision,
+        )
         self._update_state()
         self._on_view()
 
--- a/src/ramptide/controller/authority.py
+++ b/src/ramptide/controller/authority.py
@@ -1,5 +1,6 @@
 """Decides by proofs of membership whether this controller may renew leases, reply to agents and start tasks."""
 
+import logging
 from datetime import timedelta
 from typing import Protocol
 
@@ -12,6 +13,8 @@
 
 __all__ = ["Authority"]
 
+log = logging.getLogger(__name__)
+
 #: The maximum age of the proof that the view is the current one, when a task is started.
 MAX_START_PROOF_AGE = timedelta(seconds=2.5)
 #: The maximum age of the agreement that no controller reaches the key-value store, at which this controller counts as
@@ -54,6 +57,7 @@
         self._watch_cache = watch_cache
         self._peers = peers
         self._max_renewal_proof_age = max_renewal_proof_age
+        self._logged: tuple[int, bool, bool] | None = None
 
     def common_conditions(self) -> dict[str, int]:
         """Return the conditions of every transaction of this controller, as modification revisions by key."""
@@ -79,6 +83,27 @@
         """Return whether tasks may be started: agents may be replied to, and the view was proven current recently."""
         return self.may_reply() and self._is_proven_within(MAX_START_PROOF_AGE, self._view_proof())
 
+    def log_change(self) -> None:
+        """Log whether this controller may reply and start tasks, and on what knowledge, once this or the view changed."""
+        view = self._state.view
+        allowed = (view.number if view is not None else 0, self.may_reply(), self.may_start())
+        if allowed == self._logged:
+            return
+        self._logged = allowed
+        log.info(
+            "authority changed: view=%d may_reply=%s may_start=%s records_revision=%d records_age_s=%s "
+            "lease_proof_age_s=%s view_proof_age_s=%s newest_view=%d",
+            *allowed,
+            self._watch_cache.revision,
+            self._format_age(self._watch_cache.current_as_of),
+            self._format_age(self._lease_proof()),
+            self._format_age(self._view_proof()),
+            self._peers.newest_view,
+        )
+
+    def _format_age(self, proven_at: timedelta | None) -> str:
+        return "none" if proven_at is None else f"{(self._runtime.now - proven_at).total_seconds():.1f}"
+
     def is_healthy(self) -> bool:
         """Return whether requests can be accepted.
 
--- a/src/ramptide/controller/controller.py
+++ b/src/ramptide/controller/controller.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING, Any
 
 from ramptide.agents.heartbeats import HeartbeatHandler
+from ramptide.agents.statistics import AgentStatistics
 from ramptide.agents.token_announcer import TokenAnnouncer
 from ramptide.api.jobs import JobApi
 from ramptide.api.telemetry import Telemetry
@@ -91,6 +92,7 @@
         self.timings = ControllerTimings.of_agents(cluster.agents)
         self.state = ControllerState.of_cluster(settings.member, cluster)
         self.telemetry = Telemetry()
+        self.agent_statistics = AgentStatistics()
         self._build_shared_state(settings, incarnation)
         self._build_authority()
         self.quota = self._build_quota_exchange() if features is not None and features.quota.enabled else None
@@ -232,7 +234,9 @@
             self.job_api.remember_finished,
         )
         self.assignments = Assignments(self.runtime, self.state, self.machine_index, self.result_writer)
-        self.heartbeats = HeartbeatHandler(self.runtime, self.state, self.authority, self.watch_cache)
+        self.heartbeats = HeartbeatHandler(
+            self.runtime, self.state, self.authority, self.watch_cache, self.agent_statistics
+        )
         self.token_announcer = TokenAnnouncer(self.runtime, self.heartbeats.receive_direct_heartbeat)
 
     def _build_replication(self) -> None:
@@ -346,6 +350,7 @@
             self.limit_table,
             self.quota,
             self.telemetry,
+            self.agent_statistics,
         )
 
     def start(self) -> None:
@@ -371,7 +376,7 @@
         self.store_events.on_change(key, value, mod_revision)
 
     def _on_store_loaded(self) -> None:
-        self.store_events.on_loaded()
+        self.store_events.on_loaded(self.watch_cache.revision)
 
     def _on_view(self) -> None:
         self.view_change.on_view()
--- a/src/ramptide/controller/decision_loop.py
+++ b/src/ramptide/controller/decision_loop.py
@@ -5,6 +5,7 @@
 
 from ramptide.agents.heartbeats import HeartbeatHandler
 from ramptide.agents.shard import Shard
+from ramptide.agents.statistics import AgentStatistics
 from ramptide.api.telemetry import Telemetry
 from ramptide.cluster.machine_index import MachineIndex
 from ramptide.controller.agent_connectivity import AgentConnectivity
@@ -69,6 +70,7 @@
         limit_table: LimitReview | None,
         quota: QuotaReview | None,
         telemetry: Telemetry,
+        agent_statistics: AgentStatistics,
     ) -> None:
         self._runtime = runtime
         self._state = state
@@ -87,6 +89,7 @@
         self._limit_table = limit_table
         self._quota = quota
         self._telemetry = telemetry
+        self._agent_statistics = agent_statistics
         self._last_slow_round = timedelta(0)
 
     def start(self) -> None:
@@ -139,3 +142,5 @@
         self._telemetry.record_expired_leases(expired, is_confirmed=self._authority.may_reply())
         self._agent_connectivity.step_down_if_cut_off(shard)
         stop_on_draining_machines(scheduler, self._state.machines, self._machine_index.machines)
+        self._authority.log_change()
+        self._agent_statistics.write_log(shard.view, now)
--- a/src/ramptide/controller/store_events.py
+++ b/src/ramptide/controller/store_events.py
@@ -77,9 +77,14 @@
         else:
             self._membership.on_change(key, value, mod_revision)
 
-    def on_loaded(self) -> None:
-        """Log how many records the first read of all keys has shown."""
-        log.info("records loaded: jobs=%d machines=%d", len(self._state.jobs), len(self._state.machines))
+    def on_loaded(self, revision: int) -> None:
+        """Log how many records the first read of all keys has shown, and up to which revision it is complete."""
+        log.info(
+            "records loaded: jobs=%d machines=%d revision=%d",
+            len(self._state.jobs),
+            len(self._state.machines),
+            revision,
+        )
 
     def _on_settings(self, value: Any) -> None:
         self._state.tuning = self._machine_index.tuning = Tuning.from_value(value)
