--- a/src/ramptide/controller/authority.py
+++ b/src/ramptide/controller/authority.py
@@ -84,7 +84,7 @@
         return self.may_reply() and self._is_proven_within(MAX_START_PROOF_AGE, self._view_proof())
 
     def log_change(self) -> None:
-        """Log whether this controller may reply and start tasks, and on what knowledge, once this or the view changed."""
+        """Log whether this controller may reply and start tasks, and what it knows, when this or the view changes."""
         view = self._state.view
         allowed = (view.number if view is not None else 0, self.may_reply(), self.may_start())
         if allowed == self._logged:
