The first contact with a machine in a view stops the tasks of finished jobs

Cause: a reply to a heartbeat that shows an older token carried no command, yet it renewed the agent's lease; the stop needed a second heartbeat at the same owner in the same view. A response to the announcement of a token shows such a task too, and no request that can carry a stop followed. While owners change or stall before the second heartbeat, the lease is renewed for ever and the stop never comes. The proof that a start needs was asked of a stop as well.

Fix: a stop of a finished job's task needs no proof, as the job stays finished. A stop has to be certain that the job is finished, not merely unknown: the copy of the records contains the record of the present view, or the job's end itself. Otherwise the heartbeat is answered 503, so that no lease is renewed for a task that may be cancelled, and the stop follows once the records are there. A scheduler with older records no longer keeps such a task. Starts keep each of their conditions.

--- a/src/ramptide/agents/commands.py
+++ b/src/ramptide/agents/commands.py
@@ -4,22 +4,29 @@
 commands of the previous reply were carried out.
 """
 
+from collections.abc import Callable
 from datetime import timedelta
 
 from ramptide.agents.attempt_phases import AttemptEvent, advance
 from ramptide.agents.machine_table import MachineTable
 from ramptide.protocol.agents import Command, reap_command, start_command, stop_command
-from ramptide.state.task_state import FINISHED_PHASES, NO_TIME, DesiredState, Phase, TaskEntry
+from ramptide.state.task_state import FINISHED_PHASES, NO_TIME, REPORTED_PHASES, DesiredState, Phase, TaskEntry
 
 __all__ = ["CommandDelivery"]
 
 
 class CommandDelivery:
-    """Determines the commands for the agents of the machines in a table."""
+    """Determines the commands for the agents of the machines in a table.
 
-    def __init__(self, table: MachineTable) -> None:
+    Parameters
+    ----------
+    is_finished
+        Returns whether a job, one of whose tasks is on a machine, is certainly finished.
+    """
+
+    def __init__(self, table: MachineTable, is_finished: Callable[[str], bool]) -> None:
         self._table = table
-        self._find_spec = table.find_spec
+        self._is_finished = is_finished
 
     def prepare_commands(self, host: str, now: timedelta, may_start: bool) -> list[Command]:
         """Return the commands for the reply to the latest heartbeat, and record them as sent.
@@ -33,8 +40,8 @@
         starts: list[Command] = []
         for key, entry in list(machine.entries.items()):
             job_id, task_index, attempt = key
-            if entry.requested_by is None and entry.desired is None and self._find_spec(job_id) is None:
-                # The attempt was found on the machine and its job is finished: no scheduler will ask for its removal.
+            if entry.phase in REPORTED_PHASES and entry.desired is not DesiredState.REAP and self._is_finished(job_id):
+                # No scheduler need ask for the removal, or may prevent it.
                 machine.request_reap(key, entry)
             if _needs_start(entry):
                 if may_start:
--- a/src/ramptide/agents/desired_states.py
+++ b/src/ramptide/agents/desired_states.py
@@ -1,6 +1,6 @@
 """The desired states that the jobs' schedulers send for attempts on the machines that this controller owns.
 
-In a view only the owner of a machine replies to its agent's heartbeats, and commands are sent only in these replies, so
+In a view only the owner of a machine replies to its agent's heartbeats, and starts are sent only in these replies, so
 the schedulers of all controllers send their desired states to the owner.
 """
 
--- a/src/ramptide/agents/heartbeat_intake.py
+++ b/src/ramptide/agents/heartbeat_intake.py
@@ -51,6 +51,7 @@
         machine = self._table.machines.get(heartbeat.host)
         has_current_token = heartbeat.fencing_token >= self._view
         if machine is None:
+            self._decode_tasks(bytes(heartbeat.raw_tasks))
             # An older fencing token marks a late copy of a heartbeat that the machine sent before it was returned.
             if has_current_token:
                 self._table.unrecorded[heartbeat.host] = heartbeat
--- a/src/ramptide/agents/heartbeats.py
+++ b/src/ramptide/agents/heartbeats.py
@@ -7,22 +7,21 @@
 from http import HTTPStatus
 from typing import Protocol
 
+from ramptide.agents.direct_stops import DirectStops
+from ramptide.agents.finished_jobs import JobLookup, stops_of_finished_jobs, undecided_tasks
 from ramptide.agents.owned_machine import HeartbeatId, OwnedMachine
 from ramptide.agents.shard import Shard
 from ramptide.agents.statistics import AgentStatistics, HeartbeatOutcome, StopOutcome
 from ramptide.cluster.view import View
 from ramptide.config.tuning import Tuning
 from ramptide.protocol.agents import (
+    STOP_VERB,
     Command,
     Heartbeat,
-    TaskStatus,
     decode_heartbeat,
-    decode_task_reports,
     encode_heartbeat_reply,
     encode_redirect,
-    parse_task_id,
 )
-from ramptide.protocol.jobs import JobSpec
 from ramptide.protocol.types import MessageError, encode_json
 from ramptide.state.watch_cache import WatchCache
 from ramptide.transport.runtime import Runtime
@@ -61,9 +60,6 @@
     def owner_of(self, host: str) -> str:
         """Return the member that owns a machine."""
 
-    def find_spec(self, job_id: str) -> JobSpec | None:
-        """Return the spec of an unfinished job; None for any other job."""
-
 
 class ReplyAuthority(Protocol):
     """The authority of this controller towards agents at present."""
@@ -96,12 +92,16 @@
         state: HeartbeatState,
         authority: ReplyAuthority,
         watch_cache: WatchCache,
+        jobs: JobLookup,
+        direct_stops: DirectStops,
         statistics: AgentStatistics,
     ) -> None:
         self._runtime = runtime
         self._state = state
         self._authority = authority
         self._watch_cache = watch_cache
+        self._jobs = jobs
+        self._direct_stops = direct_stops
         self._statistics = statistics
         self._held: dict[str, HeldHeartbeat] = {}
 
@@ -167,7 +167,15 @@
         self._reply(heartbeat, reply)
 
     def receive_direct_heartbeat(self, heartbeat: Heartbeat) -> None:
-        """Apply the heartbeat with which an agent responded to the announcement of the view's fencing token.
+        """Process the heartbeat with which an agent responded to the announcement of the view's fencing token."""
+        self.apply_direct_heartbeat(heartbeat)
+        try:
+            self._direct_stops.request(heartbeat)
+        except MessageError as error:
+            log.debug("broken heartbeat: host=%s error=%r", heartbeat.host, str(error))
+
+    def apply_direct_heartbeat(self, heartbeat: Heartbeat) -> None:
+        """Apply the heartbeat with which an agent responded to a direct request under the view's fencing token.
 
         It is applied only as the machine's first heartbeat of the view: until then no reply of this controller can be
         on its way to the agent, so a task that the heartbeat does not report is not on the machine. Other controllers
@@ -212,25 +220,33 @@
         if shard is None or view is None or not self._authority.may_reply():
             self._refuse(host, HeartbeatOutcome.NO_AUTHORITY, reply)
             return
+        undecided = undecided_tasks(heartbeat, self._jobs)
+        if undecided:
+            # A renewed lease would let a cancelled task run on; the stop follows once the records are read.
+            self._statistics.record_stops(StopOutcome.HELD_RECORDS_BEHIND, host, undecided)
+            self._direct_stops.request(heartbeat)
+            self._refuse(host, HeartbeatOutcome.RECORDS_BEHIND, reply)
+            return
         machine, now = shard.machines.get(host), self._runtime.now
-        commands = shard.commands.prepare_commands(host, now, self._authority.may_start())
+        commands = self._commands_for(shard, machine, heartbeat, now)
         if machine is not None:
             machine.last_reply_at = now
-        self._record_stops(heartbeat, machine, commands)
         self._statistics.record_heartbeat(HeartbeatOutcome.ACCEPTED, host)
         reply(HTTPStatus.OK, encode_heartbeat_reply(view.number, commands))
 
-    def _record_stops(self, heartbeat: Heartbeat, machine: OwnedMachine | None, commands: list[Command]) -> None:
-        """Record which stops the reply to a heartbeat carries, and which it lacks."""
-        stopped = [command.task_id for command in commands if command.verb == "kill"]
-        self._statistics.record_stops(StopOutcome.SENT_IN_REPLY, heartbeat.host, stopped)
-        if machine is None or not machine.has_current_token:
-            held = [
-                report.task_id
-                for report in decode_task_reports(heartbeat.raw_tasks)
-                if report.status != TaskStatus.ENDED and self._state.find_spec(parse_task_id(report.task_id)[0]) is None
-            ]
-            self._statistics.record_stops(StopOutcome.HELD_TOKEN_NOT_SEEN, heartbeat.host, held)
+    def _commands_for(
+        self, shard: Shard, machine: OwnedMachine | None, heartbeat: Heartbeat, now: timedelta
+    ) -> list[Command]:
+        """Return the commands for the reply to a heartbeat; before the agent has seen the token, only certain stops."""
+        if machine is not None and machine.has_current_token:
+            commands = shard.commands.prepare_commands(heartbeat.host, now, self._authority.may_start())
+            outcome = StopOutcome.SENT_IN_REPLY
+        else:
+            commands = stops_of_finished_jobs(heartbeat, self._jobs)
+            outcome = StopOutcome.SENT_WITH_TOKEN
+        stopped = [command.task_id for command in commands if command.verb == STOP_VERB]
+        self._statistics.record_stops(outcome, heartbeat.host, stopped)
+        return commands
 
     def reply_to_held(self, now: timedelta) -> None:
         """Reply to the held heartbeats whose reply is due or whose machines have unsent commands."""
--- a/src/ramptide/agents/shard.py
+++ b/src/ramptide/agents/shard.py
@@ -4,9 +4,10 @@
 
 from ramptide.agents.commands import CommandDelivery
 from ramptide.agents.desired_states import DesiredStates
+from ramptide.agents.finished_jobs import JobLookup
 from ramptide.agents.heartbeat_intake import HeartbeatIntake
 from ramptide.agents.lease_expiry import LeaseExpiry
-from ramptide.agents.machine_table import MachineTable, SpecLookup
+from ramptide.agents.machine_table import MachineTable
 from ramptide.agents.owned_machine import OwnedMachine
 from ramptide.agents.status import status_of
 from ramptide.cluster.machine_status import MachineStatus
@@ -27,8 +28,8 @@
         How long an agent continues without a reply before it stops all tasks.
     heartbeat_interval
         How often agents send heartbeats.
-    find_spec
-        Returns the specification of a job by its id.
+    jobs
+        Tells the specifications of unfinished jobs, and which jobs are finished.
 
     Attributes
     ----------
@@ -42,13 +43,11 @@
         Gives up the attempts on machines whose leases have expired.
     """
 
-    def __init__(
-        self, view: int, lease_duration: timedelta, heartbeat_interval: timedelta, find_spec: SpecLookup
-    ) -> None:
-        super().__init__(view, find_spec)
+    def __init__(self, view: int, lease_duration: timedelta, heartbeat_interval: timedelta, jobs: JobLookup) -> None:
+        super().__init__(view, jobs.find_spec)
         self.heartbeats = HeartbeatIntake(self)
         self.desired_states = DesiredStates(self)
-        self.commands = CommandDelivery(self)
+        self.commands = CommandDelivery(self, jobs.is_finished)
         self.leases = LeaseExpiry(self, lease_duration, heartbeat_interval)
 
     # Changes of the fleet record and of jobs.
--- a/src/ramptide/agents/statistics.py
+++ b/src/ramptide/agents/statistics.py
@@ -33,6 +33,8 @@
     NO_AUTHORITY = "no_authority"
     #: The agent has seen the token of a newer view.
     NEWER_TOKEN = "newer_token"
+    #: The tasks' jobs may be finished, and the records that would show it have not been read yet.
+    RECORDS_BEHIND = "records_behind"
     #: A newer heartbeat of the machine was received before.
     OUT_OF_DATE = "out_of_date"
     INVALID = "invalid"
@@ -42,8 +44,11 @@
     """What became of the stop of a task; the value is the label in the metrics and the log."""
 
     SENT_IN_REPLY = "sent_in_reply"
-    #: The agent has not seen the token of the view yet, and its job is finished.
-    HELD_TOKEN_NOT_SEEN = "held_token_not_seen"
+    #: As SENT_IN_REPLY, to a heartbeat of an agent that had not seen the token of the view.
+    SENT_WITH_TOKEN = "sent_with_token"
+    SENT_DIRECTLY = "sent_directly"
+    #: The job may be finished, and the records that would show it have not been read yet.
+    HELD_RECORDS_BEHIND = "held_records_behind"
 
 
 class AgentStatistics:
--- a/src/ramptide/controller/controller.py
+++ b/src/ramptide/controller/controller.py
@@ -9,6 +9,7 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING, Any
 
+from ramptide.agents.direct_stops import DirectStops
 from ramptide.agents.heartbeats import HeartbeatHandler
 from ramptide.agents.statistics import AgentStatistics
 from ramptide.agents.token_announcer import TokenAnnouncer
@@ -33,6 +34,7 @@
 from ramptide.controller.cancellations import RecentCancellations
 from ramptide.controller.decision_loop import DecisionLoop
 from ramptide.controller.fencing import Fencing, SurvivingPeers
+from ramptide.controller.finished_jobs import FinishedJobs
 from ramptide.controller.machine_types import MachineTypeReader
 from ramptide.controller.peer_messages import DesiredStateGate, PeerMessageHandler
 from ramptide.controller.reconciliation import Reconciliation
@@ -42,6 +44,7 @@
 from ramptide.controller.store_events import StoreEvents
 from ramptide.controller.timings import ControllerTimings
 from ramptide.controller.view_change import ViewChange
+from ramptide.protocol.agents import Heartbeat
 from ramptide.protocol.jobs import HealthReply
 from ramptide.protocol.settings_file import Settings
 from ramptide.scheduling.attempts import Attempt
@@ -234,8 +237,20 @@
             self.job_api.remember_finished,
         )
         self.assignments = Assignments(self.runtime, self.state, self.machine_index, self.result_writer)
+        self.finished_jobs = FinishedJobs(
+            self.state, self.membership, self.watch_cache, self.assignments.is_finished_elsewhere
+        )
+        self.direct_stops = DirectStops(
+            self.runtime, self.finished_jobs, self.agent_statistics, self._on_direct_stop_response
+        )
         self.heartbeats = HeartbeatHandler(
-            self.runtime, self.state, self.authority, self.watch_cache, self.agent_statistics
+            self.runtime,
+            self.state,
+            self.authority,
+            self.watch_cache,
+            self.finished_jobs,
+            self.direct_stops,
+            self.agent_statistics,
         )
         self.token_announcer = TokenAnnouncer(self.runtime, self.heartbeats.receive_direct_heartbeat)
 
@@ -327,6 +342,8 @@
             self.shares,
             self.assignments,
             self.token_announcer,
+            self.direct_stops,
+            self.finished_jobs,
             self.heartbeats,
             view_listeners=[self.peers, self.fleet_manager, self.preemptor, self.handover],
             member_listeners=[self.replication, self.share_split, *quota_listeners],
@@ -342,6 +359,7 @@
             self.reconciliation,
             self.agent_connectivity,
             self.heartbeats,
+            self.direct_stops,
             self.replication,
             self.placement_round,
             self.preemptor,
@@ -372,6 +390,9 @@
         scheduler = self.state.scheduler
         return scheduler.attempts_by_host.get(host, {}).values() if scheduler is not None else ()
 
+    def _on_direct_stop_response(self, heartbeat: Heartbeat) -> None:
+        self.heartbeats.apply_direct_heartbeat(heartbeat)
+
     def _on_store_change(self, key: str, value: Any, mod_revision: int) -> None:
         self.store_events.on_change(key, value, mod_revision)
 
--- a/src/ramptide/controller/decision_loop.py
+++ b/src/ramptide/controller/decision_loop.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 from typing import Protocol
 
+from ramptide.agents.direct_stops import DirectStops
 from ramptide.agents.heartbeats import HeartbeatHandler
 from ramptide.agents.shard import Shard
 from ramptide.agents.statistics import AgentStatistics
@@ -62,6 +63,7 @@
         reconciliation: Reconciliation,
         agent_connectivity: AgentConnectivity,
         heartbeats: HeartbeatHandler,
+        direct_stops: DirectStops,
         replication: Replication,
         placement_round: PlacementRound,
         preemptor: Preemptor,
@@ -81,6 +83,7 @@
         self._reconciliation = reconciliation
         self._agent_connectivity = agent_connectivity
         self._heartbeats = heartbeats
+        self._direct_stops = direct_stops
         self._replication = replication
         self._placement_round = placement_round
         self._preemptor = preemptor
@@ -105,6 +108,7 @@
         has_changes = scheduler.needs_round or bool(shard.changed_hosts)
         self._schedule_next(ROUND_INTERVAL if has_changes else IDLE_ROUND_INTERVAL)
         self._heartbeats.reply_to_held(now)
+        self._direct_stops.send_waiting()
         if is_slow_round or has_changes:
             self._run_round(scheduler, shard, now, is_slow_round)
         self._replication.send(scheduler, shard, now)
--- a/src/ramptide/controller/view_change.py
+++ b/src/ramptide/controller/view_change.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 from typing import Protocol
 
+from ramptide.agents.direct_stops import DirectStops
 from ramptide.agents.shard import Shard
 from ramptide.agents.token_announcer import TokenAnnouncer
 from ramptide.api.telemetry import Telemetry
@@ -13,6 +14,7 @@
 from ramptide.controller.assignments import Assignments
 from ramptide.controller.errors import NoViewError
 from ramptide.controller.fencing import Fencing, SurvivingPeers
+from ramptide.controller.finished_jobs import FinishedJobs
 from ramptide.controller.shares import QuotaShares
 from ramptide.controller.state import ControllerState
 from ramptide.controller.timings import ControllerTimings
@@ -66,6 +68,8 @@
         shares: QuotaShares,
         assignments: Assignments,
         token_announcer: TokenAnnouncer,
+        direct_stops: DirectStops,
+        finished_jobs: FinishedJobs,
         heartbeats: ViewListener,
         view_listeners: Iterable[ViewListener],
         member_listeners: Iterable[MemberListener],
@@ -81,6 +85,8 @@
         self._shares = shares
         self._assignments = assignments
         self._token_announcer = token_announcer
+        self._direct_stops = direct_stops
+        self._finished_jobs = finished_jobs
         self._heartbeats = heartbeats
         self._view_listeners = list(view_listeners)
         self._member_listeners = list(member_listeners)
@@ -113,6 +119,7 @@
         for member_listener in self._member_listeners:
             member_listener.on_new_view(view if is_member else None)
         self._surviving_peers.on_new_view(view)
+        self._direct_stops.on_new_view(view.number if is_member else None)
         if is_member:
             shard = self._enter_view(view, last_possible_replies)
             self._heartbeats.on_new_view()
@@ -137,7 +144,7 @@
     def _enter_view(self, view: View, last_possible_replies: dict[str, timedelta]) -> Shard:
         """Build the shard and the scheduler, with the machines and jobs that belong to this controller in the view."""
         state, timings = self._state, self._timings
-        shard = Shard(view.number, timings.lease_duration, timings.heartbeat_interval, state.find_spec)
+        shard = Shard(view.number, timings.lease_duration, timings.heartbeat_interval, self._finished_jobs)
         place_in_view = sorted(view.members).index(state.member)
         first_attempt = (view.number * MAX_MEMBERS + place_in_view) << ATTEMPT_BITS
         state.shard = shard
--- a/src/ramptide/protocol/agents.py
+++ b/src/ramptide/protocol/agents.py
@@ -16,6 +16,7 @@
     "HEARTBEAT_PATH",
     "INSPECT_PATH",
     "REFUSAL_CAUSES",
+    "STOP_VERB",
     "Command",
     "Heartbeat",
     "TaskOutcome",
@@ -42,6 +43,10 @@
 TASK_ID_CACHE_ENTRIES = 16384
 
 
+#: The verb of the command that stops an attempt.
+STOP_VERB: Literal["kill"] = "kill"
+
+
 class TaskStatus(StrEnum):
     """The state of a task as its agent reports it."""
 
@@ -187,7 +192,7 @@
 
 def stop_command(job_id: str, task_index: int, attempt: int, grace: timedelta) -> Command:
     """Return the command to stop an attempt, which may save a checkpoint within `grace`."""
-    return Command("kill", f"{job_id}/{task_index}", attempt, grace.total_seconds())
+    return Command(STOP_VERB, f"{job_id}/{task_index}", attempt, grace.total_seconds())
 
 
 def reap_command(job_id: str, task_index: int, attempt: int) -> Command:
--- a/src/ramptide/state/delete_log.py
+++ b/src/ramptide/state/delete_log.py
@@ -31,6 +31,10 @@
             oldest_key = next(iter(self._revisions))
             self._complete_since = max(self._complete_since, self._revisions.pop(oldest_key))
 
+    def __contains__(self, key: str) -> bool:
+        """Return whether the log has a deletion of the key."""
+        return key in self._revisions
+
     def since(self, revision: int) -> list[str] | None:
         """Return the keys that were deleted after a revision, or None when the log is not complete since then."""
         if self._complete_since is None or revision < self._complete_since:
--- a/src/ramptide/state/watch_cache.py
+++ b/src/ramptide/state/watch_cache.py
@@ -112,6 +112,10 @@
         """Return the revision of a key's last change, or 0 when there is no such key."""
         return self._mod_revisions.get(key, 0)
 
+    def was_deleted(self, key: str) -> bool:
+        """Return whether one of the latest deletions that the copy contains is that of a key."""
+        return key in self._delete_log and key not in self._mod_revisions
+
     def deleted_since(self, revision: int) -> list[str] | None:
         """Return the keys that were deleted since a revision.
 
--- a/tests/test_controller_communication.py
+++ b/tests/test_controller_communication.py
@@ -24,7 +24,7 @@
 from ramptide.cluster.messages import MESSAGE_VERSION
 from ramptide.protocol.agents import Heartbeat, decode_heartbeat
 from ramptide.protocol.cloud import MachineType
-from ramptide.protocol.jobs import decode_job_spec
+from ramptide.protocol.jobs import JobSpec, decode_job_spec
 from ramptide.protocol.settings_file import KeyValueStoreLimits
 from ramptide.state.commit_batcher import CommitBatcher
 from ramptide.state.records import MachineRecord
@@ -254,9 +254,22 @@
     assert bucket.wait_time(20 * SECOND, 1) > timedelta(0)
 
 
+class KnownJobs(dict[str, JobSpec]):
+    """The specifications of all unfinished jobs; every other job is finished."""
+
+    def find_spec(self, job_id: str) -> JobSpec | None:
+        return self.get(job_id)
+
+    def is_finished(self, job_id: str) -> bool:
+        return job_id not in self
+
+    def are_records_complete(self) -> bool:
+        return True
+
+
 def new_shard() -> Shard:
     spec = decode_job_spec(json.dumps(job_spec("j-1", cores=1.0, pieces=100)).encode())
-    shard = Shard(5, 8 * SECOND, 1 * SECOND, lambda job_id: spec if job_id == "j-1" else None)
+    shard = Shard(5, 8 * SECOND, 1 * SECOND, KnownJobs({"j-1": spec}))
     record = MachineRecord("m", "a", False, 1, 0.0, None, True, "r")
     shard.add_machine("vm-1", record, MachineType(name="m", cpus=8.0, ram_gb=32.0, zones=["a"]), timedelta(0), [])
     return shard
