--- a/src/ramptide/protocol/agents.py
+++ b/src/ramptide/protocol/agents.py
@@ -18,6 +18,7 @@
     "REFUSAL_CAUSES",
     "STOP_VERB",
     "Command",
+    "DirectStartError",
     "Heartbeat",
     "TaskOutcome",
     "TaskReport",
@@ -43,10 +44,15 @@
 TASK_ID_CACHE_ENTRIES = 16384
 
 
-#: The verb of the command that stops an attempt.
+#: The verbs of the commands that start and stop an attempt.
+START_VERB: Literal["launch"] = "launch"
 STOP_VERB: Literal["kill"] = "kill"
 
 
+class DirectStartError(ValueError):
+    """Raised when a start is to be sent directly, as a late copy of the request would start the attempt again."""
+
+
 class TaskStatus(StrEnum):
     """The state of a task as its agent reports it."""
 
@@ -187,7 +193,7 @@
 
 def start_command(job_id: str, task_index: int, attempt: int) -> Command:
     """Return the command to start an attempt."""
-    return Command("launch", f"{job_id}/{task_index}", attempt)
+    return Command(START_VERB, f"{job_id}/{task_index}", attempt)
 
 
 def stop_command(job_id: str, task_index: int, attempt: int, grace: timedelta) -> Command:
@@ -201,7 +207,16 @@
 
 
 def encode_commands(fencing_token: int, agent_epoch: int, commands: list[Command]) -> bytes:
-    """Encode commands that are sent to an agent directly instead of in the reply to a heartbeat."""
+    """Encode commands that are sent to an agent directly instead of in the reply to a heartbeat.
+
+    Raises
+    ------
+    DirectStartError
+        If one of them is a start.
+    """
+    started = [command.task_id for command in commands if command.verb == START_VERB]
+    if started:
+        raise DirectStartError(f"starts cannot be sent directly: {', '.join(started)}")
     return encode_json(_CommandRequest(fencing_token, agent_epoch, commands))
 
 
