Test: the pause after the cloud's refusals ends within its bound once there is capacity again

Need: docs/design.md named this answer without a test ("What ends a wait beside room").

Change: after refusals for 5, 60 and 180 s, a machine is rented within MAX_REFUSAL_PAUSE and two steps of the leader; a counter-check with a pause four times as long fails that bound.

The other answer without a test, room that others claim within guarantees, still has none.

--- a/tests/test_left_out_machines.py
+++ b/tests/test_left_out_machines.py
@@ -12,6 +12,8 @@
 import msgspec
 import pytest
 
+from ramptide.autoscaling import machine_choice
+from ramptide.autoscaling.machine_choice import MAX_REFUSAL_PAUSE
 from ramptide.controller.controller import Controller
 from ramptide.placement.bin_packing import ReserveAccess, Room
 from ramptide.scheduling.job_state import JobState
@@ -21,6 +23,8 @@
 JOB = "j-100"
 #: The longest time that a job may wait beside room once the faults are over, in seconds.
 MAX_WAIT_S = 90.0
+#: The time in which the leader repeats its step, and in which a task starts on a machine that is up, in seconds.
+LEADER_STEP_S, START_S = 1.0, 5.0
 #: For how long the machines fail or refuse all tasks, in seconds.
 FAULT_S = 10.0
 
@@ -356,3 +360,28 @@
     assert world.run_until(lambda: not any(agent.alive for agent in faulty_agents), 90), "they are returned"
     assert finishes_without_long_wait(world, "j-1")
     assert finishes_without_long_wait(world, "j-2")
+
+
+@pytest.mark.parametrize("refused_s", [5.0, 60.0, 180.0])
+def test_waiting_job_gets_a_machine_within_the_longest_pause_after_the_clouds_refusals(refused_s: float) -> None:
+    world = started_world(3, capacity=0)
+    world.define_job(JOB, pieces=1, cores=2.0, guessS=500.0)
+    assert world.submit_until_accepted(JOB, "c0")
+    world.run(refused_s)
+    assert not world.agents
+    world.cloud.capacity = 1
+    boot_s = max(world.cloud.boot_seconds)
+    assert world.run_until(lambda: bool(world.agents), MAX_REFUSAL_PAUSE / SECOND + 2 * LEADER_STEP_S)
+    assert world.run_until(lambda: bool(running(world, JOB)), boot_s + START_S)
+
+
+def test_waiting_job_waits_longer_for_a_machine_with_a_longer_pause_after_the_clouds_refusals(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(machine_choice, "MAX_REFUSAL_PAUSE", MAX_REFUSAL_PAUSE * 4)
+    world = started_world(3, capacity=0)
+    world.define_job(JOB, pieces=1, cores=2.0, guessS=500.0)
+    assert world.submit_until_accepted(JOB, "c0")
+    world.run(180)
+    world.cloud.capacity = 1
+    assert not world.run_until(lambda: bool(world.agents), MAX_REFUSAL_PAUSE / SECOND + 2 * LEADER_STEP_S)
