--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -132,6 +132,11 @@
             self._serve(addresses["cloud"], self._cloud_handler(name))
         self._logs = {name: (self.folder / f"{name}.log").open("ab") for name in self.controller_names}
 
+    @staticmethod
+    def use_worker(kind: type[Agent]) -> None:
+        """Have the cloud rent out machines with workers of another kind from now on."""
+        virtual.cloud.Agent = kind
+
     # The record.
 
     def note(self, kind: str, text: str) -> None:
