--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -16,6 +16,7 @@
 import tomllib
 from collections.abc import Callable
 from dataclasses import dataclass
+from datetime import timedelta
 from pathlib import Path
 from types import ModuleType
 from typing import Any
@@ -31,7 +32,17 @@
 from ramptide.transport.http.messages import Message  # noqa: E402
 from ramptide.transport.http.server import Exchange, Server  # noqa: E402
 from virtual import job_spec  # noqa: E402
-from virtual.agent import CHANGE_INTERVAL, ENDED, Agent, Task  # noqa: E402
+from virtual.agent import (  # noqa: E402
+    CAPACITY_TOLERANCE_CPUS,
+    CHANGE_INTERVAL,
+    ENDED,
+    FETCH_DURATION,
+    NO_CAPACITY,
+    TASK_ALREADY_PRESENT,
+    UNKNOWN_JOB,
+    Agent,
+    Task,
+)
 from virtual.clock import SECOND  # noqa: E402
 from virtual.loopback import CONNECTION_TIMEOUT, LoopbackWorld, free_address  # noqa: E402
 from virtual.network import Respond, encode_body  # noqa: E402
@@ -106,6 +117,38 @@
             self._schedule_heartbeat(self._heartbeat_sent_at + CHANGE_INTERVAL - self.world.now)
 
 
+class LightWorker(Worker):
+    """A worker for thousands of short tasks: it checks its room once for a reply, and reports as briefly as allowed."""
+
+    def _apply_reply(self, reply: dict[str, Any], sent_at: timedelta) -> None:
+        unfinished = [task for task in self.tasks.values() if task.status != ENDED]
+        self.present = {task.task_id for task in unfinished}
+        self.used_cpus = sum(self.world.job_specs[task.job_id]["cores"] for task in unfinished)
+        super()._apply_reply(reply, sent_at)
+
+    def _fetch(self, task: Task) -> None:
+        self.tasks[task.key] = task
+        spec = self.world.job_specs.get(task.job_id)
+        if spec is None:
+            self._end(task, UNKNOWN_JOB)
+        elif task.task_id in self.present:
+            self._end(task, TASK_ALREADY_PRESENT)
+        elif self.used_cpus + spec["cores"] > self.world.site.machine_cpus + CAPACITY_TOLERANCE_CPUS:
+            self._end(task, NO_CAPACITY)
+        else:
+            self.present.add(task.task_id)
+            self.used_cpus += spec["cores"]
+            self.world.after(FETCH_DURATION, lambda: self._run(task, spec))
+
+    def encode_status(self) -> bytes:
+        """Encode the status without spaces, and without fields that are null."""
+        status = json.loads(super().encode_status())
+        for row in status["pieces"]:
+            if row["cause"] is None:
+                del row["cause"]
+        return json.dumps(status, separators=(",", ":")).encode()
+
+
 class World(LoopbackWorld):
     """Controllers of a site, started with the command of the deploy file, and their surroundings."""
 
@@ -309,4 +352,16 @@
         world.close()
 
 
-__all__ = ["BROKEN", "HELD", "HSINCHU", "NOT_RUN", "REGINA", "CaseNotRunError", "Site", "Worker", "World", "run_case"]
+__all__ = [
+    "BROKEN",
+    "HELD",
+    "HSINCHU",
+    "NOT_RUN",
+    "REGINA",
+    "CaseNotRunError",
+    "LightWorker",
+    "Site",
+    "Worker",
+    "World",
+    "run_case",
+]
