--- a/review/4/case.py
+++ b/review/4/case.py
@@ -10,9 +10,10 @@
 from harness_2 import HSINCHU, CaseNotRunError, LightWorker, World, run_case
 
 ARRAY = "j-000200"
-MACHINES = 18
-#: The results that the state service lacks when the controller goes down, and the longest outage until then.
-MISSING_RESULTS, MAX_OUTAGE_S = 10000, 25.0
+MACHINES = 24
+#: The results that the state service lacks when the controller goes down, and the longest time until then. With the
+#: time after that, the outage stays within the 20.0 s of the site files.
+MISSING_RESULTS, MAX_OUTAGE_S = 10000, 11.8
 #: How long the outage lasts after the controller went down, and how long after the outage the controller is back.
 OUTAGE_AFTER_S, BACK_AFTER_S = 8.0, 14.0
 WATCHED_S = 6.0
--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -9,6 +9,7 @@
 import os
 import shlex
 import shutil
+import signal
 import subprocess
 import sys
 import tempfile
@@ -50,6 +51,8 @@
 #: The exit statuses of a case. `run.sh` turns BROKEN into 1, which is also the status of a Python error.
 HELD, BROKEN, NOT_RUN = 0, 3, 2
 MAX_CONNECTIONS = 1000
+#: A case that takes longer than this could not run.
+MAX_CASE_S = 112.0
 
 
 class CaseNotRunError(Exception):
@@ -74,7 +77,8 @@
     teams: list[dict[str, Any]]
 
 
-#: `kit/sites/hsinchu-pressure-lab.toml`, with `hall-node` as the type of the machines.
+#: `kit/sites/hsinchu-pressure-lab.toml`, and with the same figures `kit/more/hsinchu-pressure-lab-ops.toml`; the type
+#: of the machines is `hall-node`.
 HSINCHU = Site(
     report_s=1.5, lease_s=10.0, cancel_s=35.0, machine_cpus=32.0, machine_ram_gb=256.0, list_lag_s=8.0,
     store={"rps": 100.0, "write_rps": 25.0, "value_kb": 16.0, "txn_ops": 12}, cloud_rps=8.0, cpu=0.72, ram_mb=186.0,
@@ -279,6 +283,13 @@
         """The controller that leads the present view."""
         return str(self.view()["leader"])
 
+    def serve_until(self, condition: Callable[[], bool], seconds: float) -> bool:
+        """Run the event loop until the condition holds, for at most `seconds`; return whether it holds."""
+        left = self.started + MAX_CASE_S - time.monotonic()
+        if left <= 0:
+            raise CaseNotRunError(f"longer than {MAX_CASE_S} s")
+        return super().serve_until(condition, min(seconds, left))
+
     def require(self, condition: Callable[[], bool], seconds: float, what: str) -> None:
         """Serve until a condition holds that the case needs before its check."""
         if not self.serve_until(condition, seconds):
@@ -335,6 +346,8 @@
     `play` gets the world and whether there is trouble, and returns whether the rule held.
     """
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    # The processes that were started are ended also when the case itself is told to end.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     try:
         world = kind(case, site, capacity)
     except OSError as error:
