A job whose record cannot be read is answered 503, never 404

Cause: `JobLookup` took each job that is not among the decoded ones for finished or unknown, also when the watched copy contains its key.

Change: a job whose key is in the watched copy, read after the request, was accepted and is not finished. While its record cannot be read, a poll, a cancellation and a repeated submission get 503.

--- a/src/ramptide/api/job_lookup.py
+++ b/src/ramptide/api/job_lookup.py
@@ -9,7 +9,7 @@
 from ramptide.protocol.jobs import JobStatus
 from ramptide.protocol.key_value_store import KeyValue
 from ramptide.state.jobs import Job
-from ramptide.state.records import FINISHED_PREFIX, FinishedJobRecord, RecordError, from_value
+from ramptide.state.records import FINISHED_PREFIX, JOB_PREFIX, FinishedJobRecord, RecordError, from_value
 from ramptide.state.watch_cache import WatchCache
 
 __all__ = ["JobLookup", "LookupCallback", "LookupFailure"]
@@ -25,7 +25,7 @@
 
     #: The job was never accepted.
     NO_SUCH_JOB = auto()
-    #: The key-value store could not be read.
+    #: The key-value store, or the job's record in it, could not be read.
     UNAVAILABLE = auto()
 
 
@@ -81,6 +81,9 @@
                 on_found(LookupFailure.UNAVAILABLE)
             elif job_id in self._jobs:
                 on_found(self._jobs[job_id])
+            elif self._watch_cache.mod_revision(JOB_PREFIX + job_id):
+                # The job was accepted and is not finished, but its record cannot be read.
+                on_found(LookupFailure.UNAVAILABLE)
             else:
                 # One transaction moves a job from the live to the finished jobs, and none moves it back. So a job that
                 # was accepted and is no longer live is found among the finished jobs.
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -41,6 +41,7 @@
     busy_world,
     job_spec,
     owner_of,
+    restart_controller,
     started_world,
 )
 
@@ -693,6 +694,25 @@
     assert world.invariants.violations == []
 
 
+@pytest.mark.parametrize("record", BROKEN_RECORDS[1:], ids=range(1, len(BROKEN_RECORDS)))
+def test_job_is_not_called_unknown_when_its_record_cannot_be_read(record: Any) -> None:
+    """Guards against the answer 404 about an accepted job at a controller that started with an unreadable record."""
+    world = busy_world(guessS=60.0)
+    world.store.put("live/job/j-1", record)
+    for name in world.controller_names:
+        restart_controller(world, name, 0.1)
+    world.run(12)
+    readable = [node.controller is not None and "j-1" in node.controller.state.jobs for node in world.nodes.values()]
+    expected_status = 200 if all(readable) else 503
+    assert {poll[0] for name in world.controller_names if (poll := world.poll_job("j-1", name))} == {expected_status}
+    if expected_status == 503:
+        assert not world.cancel_job("j-1", "c0")
+        assert not world.submit_until_accepted("j-1", "c0", tries=2)
+    world.define_job("j-2", pieces=1, cores=1.0, guessS=1.0)
+    assert world.submit_until_accepted("j-2", "c1")
+    assert world.run_until(lambda: world.is_done("j-2"), 60)
+
+
 @pytest.mark.parametrize("value", [[], [0], [0, 1], ["0", ""], [0, "A"], [-1, ""], [True, ""], None, {}])
 def test_progress_is_refused_when_its_record_is_broken(value: Any) -> None:
     with pytest.raises(RecordError):
