Results in a changed record are added to those in memory instead of replacing them

What callers would see: an array that never ends, as one of its tasks is neither done nor started again.

Cause: when the record of a job showed more results than its scheduler had in memory, it replaced them. A leader knows its view before the watch has delivered the last changes of the view before, and a progress record of the former scheduler can be among these. Results that the new scheduler had learned from machines by then, and that are not in that record, were lost; the attempts had ended already, so nothing queued their tasks again.

Change: the two sets are united (`Progress.update`).

Result: `test_result_is_kept_when_the_previous_scheduler_has_recorded_more_results` failed before: task 3 was missing.

--- a/src/ramptide/scheduling/job_scheduler.py
+++ b/src/ramptide/scheduling/job_scheduler.py
@@ -93,8 +93,8 @@
             self.jobs[job.job_id] = job_state
             self.failing_jobs.add_adopted(job_state, now)
             self.needs_round = True
-        elif job_state.job.progress.count > job_state.done.count:
-            job_state.done = job.progress.copy()
+        else:
+            job_state.done.update(job.progress)
         self._update_pending(job_state)
         return job_state
 
--- a/tests/test_recorded_progress.py
+++ b/tests/test_recorded_progress.py
@@ -10,17 +10,20 @@
 
 import base64
 import json
+from datetime import timedelta
 
 import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from ramptide.protocol.jobs import MAX_TASKS
-from ramptide.scheduling import job_state
+from ramptide.protocol.jobs import MAX_TASKS, decode_job_spec
+from ramptide.scheduling import job_state as job_state_module
+from ramptide.scheduling.job_scheduler import JobScheduler
 from ramptide.state import records
+from ramptide.state.jobs import Job
 from ramptide.state.records import PROGRESS_WINDOW_TASKS, JobRecord, Progress, RecordError, to_value
-from virtual import World, restart_controller, run_with_checks, started_world
+from virtual import World, job_spec, restart_controller, run_with_checks, started_world
 
 #: A window so small that a few hundred tasks span several of them.
 SMALL_WINDOW_TASKS = 32
@@ -78,12 +81,28 @@
             Progress.decode(value)
 
 
+def test_result_is_kept_when_the_previous_scheduler_has_recorded_more_results() -> None:
+    """Guards against a task that is neither done nor started again, so that its array never ends."""
+    spec = decode_job_spec(json.dumps(job_spec(ARRAY, pieces=4)).encode())
+    unrecorded = JobRecord(spec, "c0", 1, 0.0, Progress().encode())
+    job = Job(ARRAY, unrecorded, 1)
+    scheduler = JobScheduler("c1", 0)
+    job_state = scheduler.adopt_job(job, timedelta(0))
+    # The machine's owner reports a result that the previous scheduler started before the view of this scheduler.
+    scheduler.apply_status("vm-1", "a", [(ARRAY, 3, 7, "ended", "done")], timedelta(0))
+    assert job_state.next_task() == 0
+    job.update(msgspec.structs.replace(unrecorded, progress=progress_of({0, 1}).encode()), 2)
+    scheduler.adopt_job(job, timedelta(0))
+    assert tasks_in(job_state.done, 4) == {0, 1, 3}
+    assert job_state.next_task() == 2
+
+
 # Whole controllers.
 
 
 def use_small_window(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(records, "PROGRESS_WINDOW_TASKS", SMALL_WINDOW_TASKS)
-    monkeypatch.setattr(job_state, "PROGRESS_WINDOW_TASKS", SMALL_WINDOW_TASKS)
+    monkeypatch.setattr(job_state_module, "PROGRESS_WINDOW_TASKS", SMALL_WINDOW_TASKS)
 
 
 def array_world(seed: int) -> World:
