Tiny amounts of a job end no step of the leader, no placement round and no submission

Cause: `int((free + tolerance) / needed)` in `Room.count_fitting_tasks`.

Change: the quotient is computed only where it is below the largest number of tasks of a job. Each amount that was accepted still is. `count_fitting_tasks` answers `MAX_TASKS` for a job that takes nothing.

--- a/src/ramptide/autoscaling/consolidation.py
+++ b/src/ramptide/autoscaling/consolidation.py
@@ -1,5 +1,6 @@
 """The choice of machines with few services to empty, one by one, when other machines have room. No I/O."""
 
+import math
 from collections import Counter
 from datetime import timedelta
 
@@ -67,7 +68,9 @@
 
 def _cost_of_keeping(machine: FleetMachine) -> tuple[float, str]:
     """Return the sort key of a machine, lowest for the highest price per CPU that its services hold."""
-    return -machine.price / machine.service_cpus, machine.host
+    # Services that hold no CPUs may be there while another one that has just been started is not reported yet.
+    price_per_cpu = machine.price / machine.service_cpus if machine.service_cpus else math.inf
+    return -price_per_cpu, machine.host
 
 
 def _fits_elsewhere(machine: FleetMachine, serving: list[FleetMachine]) -> bool:
--- a/src/ramptide/placement/bin_packing.py
+++ b/src/ramptide/placement/bin_packing.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from ramptide.protocol.cloud import MachineType
-from ramptide.protocol.jobs import SERVICE, JobSpec
+from ramptide.protocol.jobs import MAX_TASKS, SERVICE, JobSpec
 
 #: The tolerance when amounts are compared. They are sums and differences of fractions, so an exact fit may miss by a
 #: rounding error.
@@ -56,17 +56,21 @@
     service_reserve: tuple[float, float] = (0.0, 0.0)
 
     def count_fitting_tasks(self, spec: JobSpec, access: ReserveAccess = ReserveAccess.NONE) -> int:
-        """Return how many tasks of the job fit into the room."""
+        """Return how many tasks of the job fit into the room, `MAX_TASKS` at most."""
         cpus, ram = self.cpus, self.ram_gb
         if self.service_cpus and spec.kind != SERVICE and access is not ReserveAccess.ALL:
             reserved_cpus, reserved_ram = self.service_reserve
             cpus, ram = cpus - reserved_cpus, ram - reserved_ram
-        counts = [
-            int((free + ROUNDING_TOLERANCE) / needed)
-            for free, needed in ((cpus, spec.cpus), (self.gpus, spec.gpus), (ram, spec.ram_gb))
-            if needed > 0
-        ]
-        return max(0, min(counts)) if counts else spec.task_count
+        fitting = MAX_TASKS
+        for free, needed in ((cpus, spec.cpus), (self.gpus, spec.gpus), (ram, spec.ram_gb)):
+            if needed > 0:
+                usable = free + ROUNDING_TOLERANCE
+                if usable < needed:
+                    return 0
+                # The quotient of a tiny amount may be infinite, so it is computed only where it is below the bound.
+                if usable < needed * fitting:
+                    fitting = int(usable / needed)
+        return fitting
 
     def copy(self) -> "Room":
         """Return a copy of the room, for trials.
--- a/tests/test_quota_plan.py
+++ b/tests/test_quota_plan.py
@@ -46,6 +46,21 @@
     assert "the limit can't be used: 4 tasks too many for the fleet (8 cores)" in stdout
 
 
+@pytest.mark.parametrize("amount", ["5e-324", "1e-310", "9e-7"])
+@pytest.mark.parametrize("field", ["cores", "ram_gb", "gpus"])
+def test_task_of_tiny_amounts_gives_one_line_that_names_them(
+    tmp_path: Path, capfd: pytest.CaptureFixture[str], field: str, amount: str
+) -> None:
+    """Guards against a division by zero units, which ended the planner with a traceback."""
+    task = {"cores": "2.0", "ram_gb": "4", "gpus": "0"} | {field: amount}
+    fields = ", ".join(f"{name} = {value}" for name, value in task.items())
+    text = f'{MACHINES_TOML}[[teams]]\nname = "red"\ntask = {{{fields}}}\ncpus = 16\n'
+    exit_status, _, stderr = run_plan(tmp_path, text, capfd)
+    assert exit_status == 2
+    assert f"team 'red': its task takes {float(amount):g} {field}, less than 1e-06" in stderr
+    assert stderr.count("\n") == 1
+
+
 def test_machines_of_other_types_or_zones_do_not_count(tmp_path: Path, capfd: pytest.CaptureFixture[str]) -> None:
     for constraint in ('types = ["other"]', 'zones = ["b"]'):
         exit_status, stdout, _ = run_plan(tmp_path, MACHINES_TOML + team_toml("red", f"cpus = 4\n{constraint}"), capfd)
