The planner refuses only amounts of a task that count as zero units

Change: only an amount that is rounded to zero units, by which the planner divided, is refused in one line.

--- a/src/ramptide/quota/plan_file.py
+++ b/src/ramptide/quota/plan_file.py
@@ -6,10 +6,7 @@
 
 import msgspec
 
-from ramptide.state.amounts import UNITS_PER_WHOLE
-
-#: The smallest amount above 0 that a task may take, one of the units in which team limits are counted.
-MIN_AMOUNT = 1 / UNITS_PER_WHOLE
+from ramptide.state.amounts import units_needed
 
 Size = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
@@ -98,8 +95,8 @@
     if not team.task.cores and not team.task.gpus:
         raise PlanError(f"{path}: team {team.name!r}: its task takes neither cores nor gpus")
     for field, amount in (("cores", team.task.cores), ("ram_gb", team.task.ram_gb), ("gpus", team.task.gpus)):
-        if 0 < amount < MIN_AMOUNT:
-            raise PlanError(f"{path}: team {team.name!r}: its task takes {amount:g} {field}, less than {MIN_AMOUNT:g}")
+        if amount and not units_needed(amount):
+            raise PlanError(f"{path}: team {team.name!r}: its task takes {amount:g} {field}, too little to be counted")
     for guaranteed, maximum, per_task, field in (
         (team.cpus, team.cpus_max, team.task.cores, "cpus"),
         (team.gpus, team.gpus_max, team.task.gpus, "gpus"),
