A machine is rented for a job whose tasks take nothing

Callers would see: a job with all amounts 0, which the protocol allows, was answered 201 and stayed pending for ever where no machine stood ready.

Cause: the leader chooses the kind of machine with the lowest price for the waiting work that it would run, and skipped a kind whose work weighed 0. The waiting job also kept the trigger for rentals high, in which state the idle pool is not filled.

Change: a task weighs a millionth of a CPU at the least. Usual tasks weigh far more, so their choice is unchanged.

Result: `test_machine_is_rented_for_a_job_that_takes_next_to_nothing[a-0.0]` and `[b-0.0]` failed before: the job was not done after 90 s; all cases pass.

--- a/src/ramptide/autoscaling/machine_choice.py
+++ b/src/ramptide/autoscaling/machine_choice.py
@@ -19,6 +19,8 @@
 MAX_REFUSAL_PAUSE = timedelta(seconds=40)
 # The number of CPUs that one GPU and one GB of memory count as; only the order of magnitude matters.
 GPU_WEIGHT_CPUS, RAM_GB_WEIGHT_CPUS = 12.0, 0.02
+#: The least weight of a task: one that takes nothing needs a machine as well.
+MIN_WEIGHT_CPUS = 1e-6
 
 
 class _RefusalPause(NamedTuple):
@@ -124,4 +126,5 @@
 
 def _weight(spec: JobSpec) -> float:
     """Return the weight of a task for the comparison of prices: its CPUs, with GPUs and memory converted to CPUs."""
-    return spec.cpus + spec.gpus * GPU_WEIGHT_CPUS + spec.ram_gb * RAM_GB_WEIGHT_CPUS
+    weight = spec.cpus + spec.gpus * GPU_WEIGHT_CPUS + spec.ram_gb * RAM_GB_WEIGHT_CPUS
+    return max(weight, MIN_WEIGHT_CPUS)
--- a/tests/test_extreme_amounts.py
+++ b/tests/test_extreme_amounts.py
@@ -4,6 +4,7 @@
 
 - One accepted job with a tiny amount ends each step of the leader and each placement round, so that no machine is
   rented and no job of any user starts; a submission of it is answered 500 while there is free room.
+- A job whose tasks take nothing, or next to nothing, is never given a machine.
 """
 
 import json
@@ -143,6 +144,16 @@
     check_runs_to_its_end(world, "j-1")
 
 
+@pytest.mark.parametrize("amount", TINY_AMOUNTS)
+@pytest.mark.parametrize("zone", ["a", "b"])
+def test_machine_is_rented_for_a_job_that_takes_next_to_nothing(zone: str, amount: float) -> None:
+    """Guards against a job that waits for ever in a zone without machines, as its work counts as none."""
+    world = started_world(2)
+    world.define_job("j-1", pieces=2, yard=zone, **dict.fromkeys(RESOURCES, amount))
+    assert world.submit_until_accepted("j-1", "c0")
+    check_runs_to_its_end(world, "j-1")
+
+
 def test_job_of_the_longest_durations_runs_beside_others() -> None:
     """Guards against times that are out of range."""
     world = started_world()
