A final state goes before a job record that cannot be read

Change: the final state is read first; only where there is none, the key in the copy tells an accepted job from an unknown one.

--- a/src/ramptide/api/job_lookup.py
+++ b/src/ramptide/api/job_lookup.py
@@ -81,9 +81,6 @@
                 on_found(LookupFailure.UNAVAILABLE)
             elif job_id in self._jobs:
                 on_found(self._jobs[job_id])
-            elif self._watch_cache.mod_revision(JOB_PREFIX + job_id):
-                # The job was accepted and is not finished, but its record cannot be read.
-                on_found(LookupFailure.UNAVAILABLE)
             else:
                 # One transaction moves a job from the live to the finished jobs, and none moves it back. So a job that
                 # was accepted and is no longer live is found among the finished jobs.
@@ -115,7 +112,9 @@
         if not result.is_known:
             return LookupFailure.UNAVAILABLE
         if result.key_value is None:
-            return LookupFailure.NO_SUCH_JOB
+            # A job whose key is there was accepted; it is not among the live jobs when its record cannot be read.
+            has_record = bool(self._watch_cache.mod_revision(JOB_PREFIX + job_id))
+            return LookupFailure.UNAVAILABLE if has_record else LookupFailure.NO_SUCH_JOB
         return self._apply_record(job_id, result.key_value)
 
     def _apply_record(self, job_id: str, key_value: KeyValue) -> FinishedJobRecord | LookupFailure:
