An error in the work for one job, machine or record does not end the work for all others

The class: the leader's step, a decision round and the watch go through all jobs and machines in one event, so an exception in one ended the event for all, and the next one, while the process seemed healthy. After an exception in a watched record the next watch was never sent; after one in the status of a machine the changes of all other machines of that round were lost.

Change: `IsolatedErrors` logs (`work left out`, once a minute for each subject, with the traceback) and counts (`isolated_errors_total`) an error, and the rest goes on: each job in placement, preemption, handover, the writing of results and the leader's demand; each machine in the leader's observation, in a round and in the fleet record; each job record; each part of a decision round. What is left out must not break a rule: a job whose changed record cannot be applied is suspended at its scheduler, each step that removes a finished job runs by itself, a failed placement has the usage counted anew.

The virtual world still ends a test with such an error, unless the test expects one, so no test sees less than before.

--- a/src/ramptide/api/metrics.py
+++ b/src/ramptide/api/metrics.py
@@ -19,6 +19,7 @@
 from ramptide.cluster.membership import Membership
 from ramptide.state.watch_cache import WatchCache
 from ramptide.team_limits.usage import ResourceUsage, TeamUsageReport
+from ramptide.transport.isolated_errors import ERROR_COUNTER
 from ramptide.transport.process_statistics import ProcessStatistics
 from ramptide.transport.runtime import Runtime
 
@@ -43,6 +44,7 @@
     "preemptions": "tasks stopped for others as decided here",
     "requests": "requests of users",
     "reports": "reports of workers",
+    ERROR_COUNTER: "errors in the work for one job, machine or record, without which the other work went on",
 }
 
 
--- a/src/ramptide/autoscaling/autoscaler.py
+++ b/src/ramptide/autoscaling/autoscaler.py
@@ -9,6 +9,7 @@
 from datetime import timedelta
 
 from ramptide.autoscaling.consolidation import ServiceConsolidation
+from ramptide.autoscaling.demand_fitting import DemandFitting
 from ramptide.autoscaling.demand_signal import DemandSignal, Trigger
 from ramptide.autoscaling.faulty_machines import AgentDurations, FaultyMachines
 from ramptide.autoscaling.fleet_types import IDLE, UNDERUTILIZED, Demand, FleetMachine, MachineKind, ScalingPlan
@@ -16,6 +17,7 @@
 from ramptide.autoscaling.machine_choice import MachineChoice
 from ramptide.config.tuning import Tuning
 from ramptide.protocol.cloud import MachineType
+from ramptide.transport.isolated_errors import IsolatedErrors
 
 __all__ = ["Autoscaler"]
 
@@ -23,11 +25,12 @@
 class Autoscaler:
     """Decides in steps which machines to rent, keep idle and return; `tuning` may be replaced between two steps."""
 
-    def __init__(self, tuning: Tuning, durations: AgentDurations) -> None:
+    def __init__(self, tuning: Tuning, durations: AgentDurations, errors: IsolatedErrors) -> None:
         self.tuning = tuning
-        self._signal = DemandSignal()
-        self._choice = MachineChoice()
-        self._pool = IdlePool()
+        fitting = DemandFitting(errors)
+        self._signal = DemandSignal(fitting)
+        self._choice = MachineChoice(fitting)
+        self._pool = IdlePool(fitting)
         self._faulty = FaultyMachines(durations)
         self._consolidation = ServiceConsolidation()
 
--- a/src/ramptide/autoscaling/demand_signal.py
+++ b/src/ramptide/autoscaling/demand_signal.py
@@ -8,9 +8,10 @@
 from enum import Enum
 from typing import Any
 
+from ramptide.autoscaling.demand_fitting import DemandFitting
 from ramptide.autoscaling.fleet_types import Demand, FleetMachine
 from ramptide.config.tuning import Tuning
-from ramptide.placement.bin_packing import Room, empty_room, fill_rooms, placement_needs
+from ramptide.placement.bin_packing import Room, empty_room, placement_needs
 
 __all__ = ["DemandSignal", "Trigger"]
 
@@ -37,7 +38,8 @@
     `waiting` and `long_waiting` are the counts as of the last step.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, fitting: DemandFitting) -> None:
+        self._fitting = fitting
         self.waiting = 0
         self.long_waiting = 0
         self.trigger = Trigger.LOW
@@ -61,7 +63,7 @@
             allowed_rooms = [room for room in rooms if room.host not in avoided] if avoided else rooms
             # Tasks assigned to booting machines count for the zone rules, or all machines would be rented in one zone.
             placed = Counter(group[0].placed)
-            covered = fill_rooms(spec, sum(demand.task_count for demand in group), allowed_rooms, placed)
+            covered = self._fitting.fill(spec, sum(demand.task_count for demand in group), allowed_rooms, placed)
             uncovered_count = self._count_group(group, covered, tuning.long_wait)
             if uncovered_count:
                 self.waiting += uncovered_count
--- a/src/ramptide/autoscaling/fleet_observation.py
+++ b/src/ramptide/autoscaling/fleet_observation.py
@@ -17,6 +17,7 @@
 from ramptide.state.jobs import Job
 from ramptide.state.records import MachineRecord
 from ramptide.state.task_state import FINISHED_PHASE_NAMES
+from ramptide.transport.isolated_errors import IsolatedErrors
 from ramptide.transport.runtime import Runtime
 
 __all__ = ["FleetObservation"]
@@ -87,6 +88,7 @@
         unreconciled_machines: Callable[[], dict[str, str]],
         others_fenced_at: Callable[[], timedelta | None],
         heartbeat_interval: timedelta,
+        errors: IsolatedErrors,
     ) -> None:
         self._runtime = runtime
         self._state = state
@@ -96,9 +98,10 @@
         self._unreconciled_machines = unreconciled_machines
         self._others_fenced_at = others_fenced_at
         self._heartbeat_interval = heartbeat_interval
+        self._errors = errors
 
     def machines(self, cloud_statuses: Mapping[str, str], missing: Iterable[str]) -> list[FleetMachine]:
-        """Return a description of every machine in the fleet record.
+        """Return a description of every machine in the fleet record, except for one whose description fails.
 
         `cloud_statuses`: the status of each machine in the cloud's list. `missing`: machines that the list lacks.
         """
@@ -110,7 +113,11 @@
         found = []
         for host, record in self._state.machines.items():
             age = timedelta(seconds=max(0.0, wall_s - record.requested_timestamp))
-            machine = self._describe(host, record, rooms.get(host), age)
+            try:
+                machine = self._describe(host, record, rooms.get(host), age)
+            except Exception:
+                self._errors.record("machine", host)
+                continue
             machine.cloud_status = cloud_statuses.get(host)
             machine.is_listed = host not in unlisted
             machine.blocks_reconciliation = host in blocking
--- a/src/ramptide/autoscaling/idle_pool.py
+++ b/src/ramptide/autoscaling/idle_pool.py
@@ -4,9 +4,10 @@
 from collections.abc import Iterator
 from datetime import timedelta
 
+from ramptide.autoscaling.demand_fitting import DemandFitting
 from ramptide.autoscaling.fleet_types import Demand, FleetMachine
 from ramptide.config.tuning import Tuning
-from ramptide.placement.bin_packing import empty_room, fill_rooms
+from ramptide.placement.bin_packing import empty_room
 
 __all__ = ["IdlePool"]
 
@@ -20,7 +21,8 @@
     `hosts` are the machines that are kept, as of the last step; `wanted_size` is the number of machines to keep.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, fitting: DemandFitting) -> None:
+        self._fitting = fitting
         self.hosts: list[str] = []
         self.wanted_size = 0
         self._image_uses: Counter[str] = Counter()
@@ -64,26 +66,25 @@
             since = self._idle_since.get(machine.host)
             if since is None or machine.host in self.hosts or now - since < tuning.cooldown:
                 continue
-            if usable_by is None or not _is_usable(machine, usable_by):
+            if usable_by is None or not self._is_usable(machine, usable_by):
                 yield machine.host
 
+    def _is_usable(self, machine: FleetMachine, demands: list[Demand]) -> bool:
+        """Return whether a waiting task would fit on the empty machine, even if its room is reserved for services."""
+        machine_type, record = machine.machine_type, machine.record
+        if machine_type is None:
+            return False
+        return any(
+            machine.host not in demand.avoided_hosts
+            and self._fitting.fill(
+                demand.spec,
+                1,
+                [empty_room(machine_type, record.zone, record.spot, machine.host)],
+                Counter(demand.placed),
+            )
+            for demand in demands
+        )
+
 
 def _is_idle(machine: FleetMachine) -> bool:
     return machine.is_up and not machine.task_count and machine.room is not None and not machine.is_draining
-
-
-def _is_usable(machine: FleetMachine, demands: list[Demand]) -> bool:
-    """Return whether a waiting task would fit on the empty machine, even if its room is reserved for services."""
-    machine_type, record = machine.machine_type, machine.record
-    if machine_type is None:
-        return False
-    return any(
-        machine.host not in demand.avoided_hosts
-        and fill_rooms(
-            demand.spec,
-            1,
-            [empty_room(machine_type, record.zone, record.spot, machine.host)],
-            Counter(demand.placed),
-        )
-        for demand in demands
-    )
--- a/src/ramptide/autoscaling/machine_choice.py
+++ b/src/ramptide/autoscaling/machine_choice.py
@@ -6,9 +6,10 @@
 from datetime import timedelta
 from typing import NamedTuple
 
+from ramptide.autoscaling.demand_fitting import DemandFitting
 from ramptide.autoscaling.fleet_types import Demand, MachineKind
 from ramptide.config.tuning import Tuning
-from ramptide.placement.bin_packing import empty_room, fill_rooms
+from ramptide.placement.bin_packing import empty_room
 from ramptide.protocol.cloud import MachineType
 from ramptide.protocol.jobs import JobSpec
 
@@ -46,7 +47,8 @@
 class MachineChoice:
     """Chooses among the kinds of machines that are not paused after a refusal."""
 
-    def __init__(self) -> None:
+    def __init__(self, fitting: DemandFitting) -> None:
+        self._fitting = fitting
         self._refusals: dict[MachineKind, _RefusalPause] = {}
 
     def record_refusal(self, kind: MachineKind, now: timedelta) -> None:
@@ -73,7 +75,7 @@
         """Return the kind with the lowest price for the waiting work that it would run, its boot time included."""
         best: tuple[float, MachineKind] | None = None
         for offer in self._offers(now, machine_types):
-            work = _fitting_work(offer, uncovered)
+            work = self._fitting_work(offer, uncovered)
             if work <= 0:
                 continue
             boot = timedelta(seconds=offer.machine_type.boot_s)
@@ -87,9 +89,8 @@
         offers = [(offer.price, offer.kind) for offer in self._offers(now, machine_types) if not offer.spot]
         return min(offers)[1] if offers else None
 
-    @staticmethod
     def rental_count(
-        kind: MachineKind | None, uncovered: list[Demand], machine_types: Iterable[MachineType], max_count: int
+        self, kind: MachineKind | None, uncovered: list[Demand], machine_types: Iterable[MachineType], max_count: int
     ) -> int:
         """Return how many machines of the kind to rent in this step.
 
@@ -107,21 +108,21 @@
             room = empty_room(machine_type, kind.zone, kind.spot)
             assigned_count = 0
             for demand in remaining:
-                fitting_count = fill_rooms(demand.spec, demand.task_count, [room], demand.placed)
+                fitting_count = self._fitting.fill(demand.spec, demand.task_count, [room], demand.placed)
                 demand.task_count -= fitting_count
                 assigned_count += fitting_count
             if not assigned_count:
                 return count
         return max_count
 
-
-def _fitting_work(offer: _Offer, uncovered: list[Demand]) -> float:
-    """Return the weighted amount of waiting work that would fit on one machine of the kind."""
-    room = empty_room(offer.machine_type, offer.zone, offer.spot)
-    work = 0.0
-    for demand in uncovered:
-        work += fill_rooms(demand.spec, demand.task_count, [room], Counter(demand.placed)) * _weight(demand.spec)
-    return work
+    def _fitting_work(self, offer: _Offer, uncovered: list[Demand]) -> float:
+        """Return the weighted amount of waiting work that would fit on one machine of the kind."""
+        room = empty_room(offer.machine_type, offer.zone, offer.spot)
+        work = 0.0
+        for demand in uncovered:
+            fitting_count = self._fitting.fill(demand.spec, demand.task_count, [room], Counter(demand.placed))
+            work += fitting_count * _weight(demand.spec)
+        return work
 
 
 def _weight(spec: JobSpec) -> float:
--- a/src/ramptide/controller/assignments.py
+++ b/src/ramptide/controller/assignments.py
@@ -10,6 +10,7 @@
 from ramptide.scheduling.results import ResultWriter
 from ramptide.state.jobs import Job
 from ramptide.state.records import MachineRecord
+from ramptide.transport.isolated_errors import IsolatedErrors
 from ramptide.transport.runtime import Runtime
 
 __all__ = ["Assignments"]
@@ -19,12 +20,18 @@
     """Adds jobs to the local scheduler and machines to the local shard, updates and removes them."""
 
     def __init__(
-        self, runtime: Runtime, state: ControllerState, machine_index: MachineIndex, result_writer: ResultWriter
+        self,
+        runtime: Runtime,
+        state: ControllerState,
+        machine_index: MachineIndex,
+        result_writer: ResultWriter,
+        errors: IsolatedErrors,
     ) -> None:
         self._runtime = runtime
         self._state = state
         self._machine_index = machine_index
         self._result_writer = result_writer
+        self._errors = errors
         #: Jobs that other controllers reported as finished and that the local watch cache still shows.
         self._finished_elsewhere: set[str] = set()
 
@@ -50,6 +57,12 @@
         for host in self._machine_index.hosts_of_job(job.job_id):
             self._apply_status(scheduler, host)
 
+    def suspend(self, job_id: str) -> None:
+        """Start no task of a job here before the next view, as a change of its record could not be applied."""
+        scheduler = self._state.scheduler
+        if scheduler is not None and job_id in scheduler.jobs:
+            scheduler.jobs[job_id].is_frozen = True
+
     def on_job_deleted(self, job_id: str) -> None:
         """Drop a job whose record was deleted."""
         self._finished_elsewhere.discard(job_id)
@@ -69,12 +82,14 @@
         job = self._state.jobs.pop(job_id, None)
         if job is None:
             return
-        self._machine_index.record_job_finished(job_id, job.spec, self._runtime.now)
-        self._result_writer.forget_job(job_id)
-        if self._state.scheduler is not None:
-            self._state.scheduler.finish_job(job_id)
-        if self._state.shard is not None:
-            self._state.shard.request_job_reap(job_id)
+        scheduler, shard, now = self._state.scheduler, self._state.shard, self._runtime.now
+        # The job's tasks are stopped whatever fails before.
+        self._errors.run("finished job", job_id, lambda: self._machine_index.record_job_finished(job_id, job.spec, now))
+        self._errors.run("finished job", job_id, lambda: self._result_writer.forget_job(job_id))
+        if scheduler is not None:
+            self._errors.run("finished job", job_id, lambda: scheduler.finish_job(job_id))
+        if shard is not None:
+            self._errors.run("finished job", job_id, lambda: shard.request_job_reap(job_id))
 
     def add_owned_machine(
         self, host: str, record: MachineRecord, last_possible_replies: Mapping[str, timedelta] | None = None
--- a/src/ramptide/controller/controller.py
+++ b/src/ramptide/controller/controller.py
@@ -58,6 +58,7 @@
 from ramptide.state.watch_cache import WatchCache
 from ramptide.team_limits.cluster_usage import ClusterUsage
 from ramptide.team_limits.share_split import ShareSplit
+from ramptide.transport.isolated_errors import IsolatedErrors
 from ramptide.transport.runtime import Runtime
 
 if TYPE_CHECKING:
@@ -94,6 +95,7 @@
         self.runtime = runtime
         self.timings = ControllerTimings.of_agents(cluster.agents)
         self.state = ControllerState.of_cluster(settings.member, cluster)
+        self.errors = IsolatedErrors(runtime, self.state.counters)
         self.telemetry = Telemetry()
         self.agent_statistics = AgentStatistics()
         self._build_shared_state(settings, incarnation)
@@ -205,6 +207,7 @@
             self.urgency_order,
             may_start_job,
             quota,
+            self.errors,
         )
         self.preemptor = Preemptor(
             runtime,
@@ -215,6 +218,7 @@
             self.urgency_order,
             self.cluster_usage.team_usage,
             may_start_job,
+            self.errors,
         )
         self.handover = JobHandover(
             runtime,
@@ -226,6 +230,7 @@
             fresh_members,
             may_start_job,
             quota,
+            self.errors,
         )
 
     def _build_agents(self) -> None:
@@ -235,8 +240,9 @@
             self.commit_batcher,
             self.authority.common_conditions,
             self.job_api.remember_finished,
+            self.errors,
         )
-        self.assignments = Assignments(self.runtime, self.state, self.machine_index, self.result_writer)
+        self.assignments = Assignments(self.runtime, self.state, self.machine_index, self.result_writer, self.errors)
         self.finished_jobs = FinishedJobs(
             self.state, self.membership, self.watch_cache, self.assignments.is_finished_elsewhere
         )
@@ -298,9 +304,10 @@
             self.reconciliation.unreconciled_machines,
             self.fencing.others_fenced_at,
             timings.heartbeat_interval,
+            self.errors,
         )
         durations = AgentDurations(timings.heartbeat_interval, timings.lease_duration, timings.confirm_timeout)
-        autoscaler = Autoscaler(state.tuning, durations)
+        autoscaler = Autoscaler(state.tuning, durations, self.errors)
         self.fleet_manager = FleetManager(
             runtime,
             state,
@@ -328,6 +335,7 @@
             self.fleet_manager,
             self.heartbeats,
             self.limit_table,
+            self.errors,
         )
         self.machine_type_reader = MachineTypeReader(runtime, self.cloud_client, self._on_machine_types)
         quota_listeners = [self.quota] if self.quota is not None else []
@@ -369,6 +377,7 @@
             self.quota,
             self.telemetry,
             self.agent_statistics,
+            self.errors,
         )
 
     def start(self) -> None:
--- a/src/ramptide/controller/decision_loop.py
+++ b/src/ramptide/controller/decision_loop.py
@@ -1,5 +1,6 @@
 """The decision loop: rounds that decide on starts, preemptions and handovers from all that was received before."""
 
+from collections.abc import Callable
 from datetime import timedelta
 from typing import Protocol
 
@@ -23,6 +24,7 @@
 from ramptide.scheduling.placement_round import PlacementRound
 from ramptide.scheduling.preemption import Preemptor
 from ramptide.scheduling.results import ResultWriter
+from ramptide.transport.isolated_errors import IsolatedErrors
 from ramptide.transport.runtime import Runtime
 
 __all__ = ["DecisionLoop"]
@@ -73,6 +75,7 @@
         quota: QuotaReview | None,
         telemetry: Telemetry,
         agent_statistics: AgentStatistics,
+        errors: IsolatedErrors,
     ) -> None:
         self._runtime = runtime
         self._state = state
@@ -93,6 +96,7 @@
         self._quota = quota
         self._telemetry = telemetry
         self._agent_statistics = agent_statistics
+        self._errors = errors
         self._last_slow_round = timedelta(0)
 
     def start(self) -> None:
@@ -118,28 +122,43 @@
         self._runtime.after(delay, self.start)
 
     def _run_round(self, scheduler: JobScheduler, shard: Shard, now: timedelta, is_slow_round: bool) -> None:
-        """Process what changed; what changes only with time is processed only in slow rounds."""
+        """Process what changed; what changes only with time is processed only in slow rounds.
+
+        An error in one part of the round is recorded, and the other parts run all the same.
+        """
         scheduler.needs_round = False
         if is_slow_round:
             self._last_slow_round = now
-            self._process_passed_time(scheduler, shard, now)
+            self._run_part("passed time", lambda: self._process_passed_time(scheduler, shard, now))
         changed_machines = shard.pop_changed()
         for host in changed_machines:
-            self._assignments.apply_machine_status(host, shard.status(host, now))
-        own_acknowledged = shard.desired_states.acknowledged.get(self._state.member, 0)
-        apply_acknowledgement(self._state, self._machine_index, scheduler, self._state.member, own_acknowledged)
-        self._reconciliation.update_reconciled()
+            try:
+                self._assignments.apply_machine_status(host, shard.status(host, now))
+            except Exception:
+                self._errors.record("machine status", host)
+        self._run_part("acknowledgements", lambda: self._apply_own_acknowledgements(scheduler, shard))
+        self._run_part("reconciliation", self._reconciliation.update_reconciled)
         if self._authority.may_start():
-            self._placement_round.run(scheduler, now)
-            self._preemptor.run(scheduler, now)
-            self._handover.run(scheduler, now)
+            self._run_part("placement", lambda: self._placement_round.run(scheduler, now))
+            self._run_part("preemption", lambda: self._preemptor.run(scheduler, now))
+            self._run_part("handover", lambda: self._handover.run(scheduler, now))
+        self._run_part("team limits", lambda: self._review_limits(scheduler, now))
+        self._run_part("replication", lambda: self._replication.record_changes(scheduler, shard, changed_machines))
+        self._run_part("held heartbeats", lambda: self._heartbeats.reply_to_held(now))
+        self._run_part("results", lambda: self._result_writer.flush(scheduler, now))
+
+    def _run_part(self, name: str, action: Callable[[], object]) -> None:
+        self._errors.run("decision round", name, action)
+
+    def _apply_own_acknowledgements(self, scheduler: JobScheduler, shard: Shard) -> None:
+        acknowledged = shard.desired_states.acknowledged.get(self._state.member, 0)
+        apply_acknowledgement(self._state, self._machine_index, scheduler, self._state.member, acknowledged)
+
+    def _review_limits(self, scheduler: JobScheduler, now: timedelta) -> None:
         if self._limit_table is not None:
             self._limit_table.activate_pending_limits()
         if self._quota is not None:
             self._quota.run_round(scheduler, now)
-        self._replication.record_changes(scheduler, shard, changed_machines)
-        self._heartbeats.reply_to_held(now)
-        self._result_writer.flush(scheduler, now)
 
     def _process_passed_time(self, scheduler: JobScheduler, shard: Shard, now: timedelta) -> None:
         expired = shard.leases.expire(now, self._fencing.others_fenced_at())
--- a/src/ramptide/controller/store_events.py
+++ b/src/ramptide/controller/store_events.py
@@ -1,6 +1,7 @@
 """Applies the key-value store's changes of jobs, rentals, machine types, settings and membership."""
 
 import logging
+from functools import partial
 from typing import Any, Protocol
 
 import msgspec
@@ -25,6 +26,7 @@
     MachineRecord,
     RentalRecord,
 )
+from ramptide.transport.isolated_errors import IsolatedErrors
 
 __all__ = ["StoreEvents"]
 
@@ -51,6 +53,7 @@
         fleet_manager: FleetManager,
         heartbeats: HeartbeatHandler,
         limit_records: LimitRecords | None,
+        errors: IsolatedErrors,
     ) -> None:
         self._state = state
         self._membership = membership
@@ -60,9 +63,15 @@
         self._fleet_manager = fleet_manager
         self._heartbeats = heartbeats
         self._limit_records = limit_records
+        self._errors = errors
 
     def on_change(self, key: str, value: Any, mod_revision: int) -> None:
-        """Apply a change of one key; `value` is None for a deletion."""
+        """Apply a change of one key; `value` is None for a deletion.
+
+        An error in the record of a job or a machine is recorded, as the watch has to go on for all others. An error in
+        any other record ends the watch, and with it the authority of this controller: a view must not be applied by
+        half.
+        """
         if key.startswith(JOB_PREFIX):
             self._on_job(key.removeprefix(JOB_PREFIX), value, mod_revision)
         elif key.startswith(RENTAL_PREFIX):
@@ -108,9 +117,18 @@
             return
         if known is None:
             self._state.jobs[job_id] = job
+        try:
+            self._apply_job(job, is_new=known is None)
+        except Exception:
+            self._errors.record("job record", job_id)
+            # The record may name another scheduler, which starts the job's tasks from now on.
+            self._assignments.suspend(job_id)
+
+    def _apply_job(self, job: Job, is_new: bool) -> None:
+        if is_new:
             self._fleet_manager.autoscaler.record_image_use(job.spec.image)
         if job.progress.count:
-            self._machine_index.record_job_success(job_id)
+            self._machine_index.record_job_success(job.job_id)
         self._assignments.assign(job)
 
     def _on_rental(self, rental_id: str, value: Any) -> None:
@@ -125,10 +143,10 @@
         old_machines = previous.machine_records(rental_id) if previous is not None else {}
         new_machines = record.machine_records(rental_id) if record is not None else {}
         for host in old_machines.keys() - new_machines.keys():
-            self._remove_machine(host)
+            self._errors.run("machine record", host, partial(self._remove_machine, host))
         for host, machine in new_machines.items():
             if machine != old_machines.get(host):
-                self._apply_machine_record(host, machine)
+                self._errors.run("machine record", host, partial(self._apply_machine_record, host, machine))
 
     def _apply_machine_record(self, host: str, record: MachineRecord) -> None:
         self._state.machines[host] = record
--- a/src/ramptide/scheduling/handover.py
+++ b/src/ramptide/scheduling/handover.py
@@ -17,6 +17,7 @@
 from ramptide.state.commit_batcher import CommitBatcher
 from ramptide.state.records import JOB_PREFIX, Handover, to_value
 from ramptide.state.watch_cache import WatchCache
+from ramptide.transport.isolated_errors import IsolatedErrors
 from ramptide.transport.runtime import Runtime
 
 __all__ = ["JobHandover"]
@@ -78,6 +79,7 @@
         fresh_members: Callable[[], set[str]],
         may_start_job: Callable[[JobState], bool],
         quota: LimitWaits | None,
+        errors: IsolatedErrors,
     ) -> None:
         self._runtime = runtime
         self._state = state
@@ -88,6 +90,7 @@
         self._fresh_members = fresh_members
         self._may_start_job = may_start_job
         self._quota = quota
+        self._errors = errors
         self._in_flight = 0
 
     def on_new_view(self) -> None:
@@ -103,11 +106,15 @@
         for job_state in list(scheduler.jobs_with_pending_tasks.values()):
             if self._in_flight >= self._max_in_flight:
                 return
-            if not self._is_due_for_handover(job_state, now):
-                continue
-            # The quota feature transfers shares to where a job waits, so a job that lacks only a share stays here.
-            if self._quota is None or not self._quota.is_waiting_for_limit(job_state, share_used):
-                self._hand_over_job(job_state, view, scheduler)
+            try:
+                if self._is_due_for_handover(job_state, now) and not self._lacks_share(job_state, share_used):
+                    self._hand_over_job(job_state, view, scheduler)
+            except Exception:
+                self._errors.record("handover", job_state.job.job_id)
+
+    def _lacks_share(self, job_state: JobState, share_used: TeamAmounts) -> bool:
+        """Return whether the job lacks only a share, which the quota feature transfers to where a job waits."""
+        return self._quota is not None and self._quota.is_waiting_for_limit(job_state, share_used)
 
     def _is_due_for_handover(self, job_state: JobState, now: timedelta) -> bool:
         if job_state.waiting_since is None or now - job_state.waiting_since <= self._state.tuning.hand_over:
@@ -115,12 +122,12 @@
         return not job_state.is_frozen and job_state.retry_at <= now and self._may_start_job(job_state)
 
     def _hand_over_job(self, job_state: JobState, view: View, scheduler: JobScheduler) -> None:
-        job_state.is_frozen = True
-        self._in_flight += 1
         handover = Handover(view.number, self._state.member, scheduler.sequence_number + 1)
         record = msgspec.structs.replace(job_state.job.record, scheduler=view.leader, handover=handover)
         key = JOB_PREFIX + job_state.job.job_id
         transaction = Transaction(conditions={key: job_state.job.mod_revision}, puts=[Put(key, to_value(record))])
+        job_state.is_frozen = True
+        self._in_flight += 1
         self._commit(job_state, view, transaction, may_be_applied=False)
 
     def _commit(self, job_state: JobState, view: View, transaction: Transaction, may_be_applied: bool) -> None:
--- a/src/ramptide/scheduling/placement_round.py
+++ b/src/ramptide/scheduling/placement_round.py
@@ -3,7 +3,7 @@
 import math
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from typing import Protocol
 
@@ -27,6 +27,7 @@
 from ramptide.scheduling.rooms import RoomFinder
 from ramptide.scheduling.urgency_order import GuaranteeUsage, UrgencyOrder
 from ramptide.state.amounts import ZERO_AMOUNTS, Amounts, TeamAmounts, add_amounts, amounts_of
+from ramptide.transport.isolated_errors import IsolatedErrors
 from ramptide.transport.runtime import Runtime
 
 __all__ = ["PlacementRound"]
@@ -80,6 +81,8 @@
     used: dict[str, Amounts]
     now: timedelta
     wall: datetime
+    #: What jobs that found no room need, with their access to reserved room.
+    unplaceable: set[tuple[object, ...]] = field(default_factory=set)
 
 
 class PlacementRound:
@@ -104,6 +107,7 @@
         urgency_order: UrgencyOrder,
         may_start_job: Callable[[JobState], bool],
         quota: RoomClaims | None,
+        errors: IsolatedErrors,
     ) -> None:
         self._runtime = runtime
         self._state = state
@@ -113,6 +117,7 @@
         self._urgency_order = urgency_order
         self._may_start_job = may_start_job
         self._quota = quota
+        self._errors = errors
 
     def run(self, scheduler: JobScheduler, now: timedelta) -> None:
         """Start the tasks that find room, those of the most urgent jobs first.
@@ -132,15 +137,23 @@
         job_states = self._filter_by_size(job_states, placement)
         urgency_of = self._urgency_order.urgency_of
         job_states.sort(key=lambda job_state: urgency_of(job_state.job, job_state.idle_for(now, wall), wall))
-        is_within_guarantee = self._quota.is_within_guarantee if self._quota is not None else None
-        unplaceable: set[tuple[object, ...]] = set()
         for job_state in job_states:
-            access = reserve_access(job_state, now, wall, self._state.tuning, is_within_guarantee)
-            key = (placement_needs(job_state.job.spec), access)
-            is_short = key in unplaceable or self._place_job(job_state, access, placement)
-            if is_short and _is_representative(job_state):
-                unplaceable.add(key)
-            job_state.update_waiting(now, job_state.startable > 0, is_short)
+            try:
+                self._try_job(job_state, placement)
+            except Exception:
+                self._errors.record("placement", job_state.job.job_id)
+                # Some of its tasks may have been started.
+                placement.used = scheduler.usage_with_transfers()
+
+    def _try_job(self, job_state: JobState, placement: _Round) -> None:
+        """Start the tasks of one job that find room, unless an earlier job of equal needs has found none."""
+        is_within_guarantee = self._quota.is_within_guarantee if self._quota is not None else None
+        access = reserve_access(job_state, placement.now, placement.wall, self._state.tuning, is_within_guarantee)
+        key = (placement_needs(job_state.job.spec), access)
+        is_short = key in placement.unplaceable or self._place_job(job_state, access, placement)
+        if is_short and _is_representative(job_state):
+            placement.unplaceable.add(key)
+        job_state.update_waiting(placement.now, job_state.startable > 0, is_short)
 
     def _startable_jobs(self, scheduler: JobScheduler, now: timedelta) -> list[JobState]:
         return [
--- a/src/ramptide/scheduling/preemption.py
+++ b/src/ramptide/scheduling/preemption.py
@@ -25,6 +25,7 @@
 from ramptide.state.jobs import Job
 from ramptide.state.records import MachineRecord
 from ramptide.state.task_state import TaskKey
+from ramptide.transport.isolated_errors import IsolatedErrors
 from ramptide.transport.runtime import Runtime
 
 __all__ = ["PendingPreemption", "Preemptor"]
@@ -97,6 +98,8 @@
     now: timedelta
     #: The preemptible tasks of each machine that was looked up so far.
     tasks: dict[str, list[RunningTask]] = field(default_factory=dict)
+    #: What jobs claim for which no room could be made.
+    unmet: set[tuple[object, ...]] = field(default_factory=set)
 
 
 class Preemptor:
@@ -116,6 +119,7 @@
         urgency_order: UrgencyOrder,
         team_usage: Callable[[], TeamAmounts],
         may_start_job: Callable[[JobState], bool],
+        errors: IsolatedErrors,
     ) -> None:
         self._runtime = runtime
         self._state = state
@@ -125,6 +129,7 @@
         self._urgency_order = urgency_order
         self._team_usage = team_usage
         self._may_start_job = may_start_job
+        self._errors = errors
         self.pending: dict[TaskKey, PendingPreemption] = {}
         self._last_run = timedelta(0)
 
@@ -156,18 +161,24 @@
         claims = _Claims(rooms, self._team_usage(), now)
         share_used = scheduler.usage_with_transfers()
         urgency_of = self._urgency_order.urgency_of
-        unmet_claims: set[tuple[object, ...]] = set()
         for job_state in sorted(
             claimants, key=lambda claimant: urgency_of(claimant.job, claimant.idle_for(now, wall), wall)
         ):
-            spec = job_state.job.spec
-            key = (placement_needs(spec), spec.priority, spec.team)
-            if key in unmet_claims or not self._may_preempt():
-                continue
-            wanted = self._wanted_tasks(job_state, share_used)
-            has_room = wanted <= 0 or self._make_room(job_state, wanted, claims)
-            if not has_room and not job_state.excluded_until:
-                unmet_claims.add(key)
+            try:
+                self._process_claim(job_state, share_used, claims)
+            except Exception:
+                self._errors.record("preemption", job_state.job.job_id)
+
+    def _process_claim(self, job_state: JobState, share_used: TeamAmounts, claims: _Claims) -> None:
+        """Make room for one job, unless there was none for an earlier one with the same claim."""
+        spec = job_state.job.spec
+        key = (placement_needs(spec), spec.priority, spec.team)
+        if key in claims.unmet or not self._may_preempt():
+            return
+        wanted = self._wanted_tasks(job_state, share_used)
+        has_room = wanted <= 0 or self._make_room(job_state, wanted, claims)
+        if not has_room and not job_state.excluded_until:
+            claims.unmet.add(key)
 
     def _is_due(self, now: timedelta) -> bool:
         may_decide = self._leadership.is_leading and self._state.reconciled
--- a/src/ramptide/scheduling/results.py
+++ b/src/ramptide/scheduling/results.py
@@ -14,6 +14,7 @@
 from ramptide.state.commit_batcher import CommitBatcher
 from ramptide.state.records import FINISHED_PREFIX, JOB_PREFIX, FinishedJobRecord, to_value
 from ramptide.state.watch_cache import WatchCache
+from ramptide.transport.isolated_errors import IsolatedErrors
 
 __all__ = ["ResultWriter"]
 
@@ -44,11 +45,13 @@
         commit_batcher: CommitBatcher,
         common_conditions: Callable[[], dict[str, int]],
         on_finished: Callable[[str, FinishedJobRecord], None],
+        errors: IsolatedErrors,
     ) -> None:
         self._watch_cache = watch_cache
         self._completions = commit_batcher
         self._progress = CommitBatcher(store, common_conditions, CallPriority.HOUSEKEEPING, MAX_PROGRESS_OPERATIONS)
         self._on_finished = on_finished
+        self._errors = errors
         self._next_write: dict[str, timedelta] = {}
         self._in_flight: set[str] = set()
 
@@ -65,10 +68,17 @@
             if job_state is None or not job_state.has_unrecorded_results:
                 scheduler.jobs_with_new_results.discard(job_id)
             elif not job_state.is_frozen and job_id not in self._in_flight:
-                if job_state.is_complete and now >= self._next_write.get(job_id, now):
-                    self._write_completion(job_state, now)
-                elif not job_state.is_complete and now >= self._next_write.setdefault(job_id, now + PROGRESS_INTERVAL):
-                    self._write_progress(job_state, now)
+                try:
+                    self._write_if_due(job_state, now)
+                except Exception:
+                    self._errors.record("results", job_id)
+
+    def _write_if_due(self, job_state: JobState, now: timedelta) -> None:
+        job_id = job_state.job.job_id
+        if job_state.is_complete and now >= self._next_write.get(job_id, now):
+            self._write_completion(job_state, now)
+        elif not job_state.is_complete and now >= self._next_write.setdefault(job_id, now + PROGRESS_INTERVAL):
+            self._write_progress(job_state, now)
 
     def _write_completion(self, job_state: JobState, now: timedelta) -> None:
         job = job_state.job
--- a/tests/test_models.py
+++ b/tests/test_models.py
@@ -33,6 +33,7 @@
 from ramptide.team_limits.share_allocator import ShareAllocator
 from ramptide.team_limits.split_policy import ProportionalSplit
 from virtual import SECOND, job_spec
+from virtual.strict_errors import StrictErrors
 
 
 @settings(derandomize=True, max_examples=200, deadline=None)
@@ -221,7 +222,7 @@
 
 
 def test_one_machine_a_step_is_rented_once_the_waiting_count_was_high_for_the_window() -> None:
-    autoscaler = Autoscaler(Tuning(pool_size=0, window=2 * SECOND), AGENT_DURATIONS)
+    autoscaler = Autoscaler(Tuning(pool_size=0, window=2 * SECOND), AGENT_DURATIONS, StrictErrors())
     assert count_rentals(autoscaler, [waiting_demand(4)], [], 4) == 0
     assert autoscaler.trigger is Trigger.RISING
     assert count_rentals(autoscaler, [waiting_demand(4)], [], 3, 2.0) == 3
@@ -241,7 +242,7 @@
 
 def test_long_waiting_tasks_alone_raise_the_trigger() -> None:
     autoscaler = Autoscaler(
-        Tuning(pool_size=0, window=0 * SECOND, waiting_high=100, long_waiting_high=2), AGENT_DURATIONS
+        Tuning(pool_size=0, window=0 * SECOND, waiting_high=100, long_waiting_high=2), AGENT_DURATIONS, StrictErrors()
     )
     assert count_rentals(autoscaler, [waiting_demand(4, 5.0)], [], 3) == 0
     assert count_rentals(autoscaler, [waiting_demand(4, 11.0)], [], 3, 2.0) == 3
@@ -249,7 +250,7 @@
 
 
 def test_refused_machine_kind_is_not_rented_again_until_its_backoff_ends() -> None:
-    autoscaler = Autoscaler(Tuning(pool_size=0, window=0 * SECOND), AGENT_DURATIONS)
+    autoscaler = Autoscaler(Tuning(pool_size=0, window=0 * SECOND), AGENT_DURATIONS, StrictErrors())
     autoscaler.step(timedelta(0), [waiting_demand(2)], [], [MACHINE_TYPE], True)
     autoscaler.record_refusal(("m", "a", False), timedelta(0))
     assert count_rentals(autoscaler, [waiting_demand(2)], [], 6, 0.5) == 0
@@ -257,7 +258,7 @@
 
 
 def test_pool_is_refilled_and_surplus_idle_machine_is_drained_after_the_cooldown() -> None:
-    autoscaler = Autoscaler(Tuning(pool_size=1, cooldown=10 * SECOND), AGENT_DURATIONS)
+    autoscaler = Autoscaler(Tuning(pool_size=1, cooldown=10 * SECOND), AGENT_DURATIONS, StrictErrors())
     assert count_rentals(autoscaler, [], [], 1) == 1, "the pool has too few machines"
     idle_machines = [fleet_machine("vm-0"), fleet_machine("vm-1")]
     drained: dict[str, str] = {}
@@ -275,7 +276,9 @@
     """A job bound to a zone without capacity can keep the trigger high for ever, but must not keep idle machines."""
 
     def drained_in_zone(zone: str) -> dict[str, str]:
-        autoscaler = Autoscaler(Tuning(pool_size=0, pool_share=0.0, cooldown=10 * SECOND), AGENT_DURATIONS)
+        autoscaler = Autoscaler(
+            Tuning(pool_size=0, pool_share=0.0, cooldown=10 * SECOND), AGENT_DURATIONS, StrictErrors()
+        )
         spec = decode_job_spec(json.dumps(job_spec("j-1", pieces=4, cores=4.0, yard=zone)).encode())
         idle_machine = fleet_machine("vm-0")
         assert idle_machine.room is not None
@@ -308,7 +311,9 @@
 
     def drained_among(*machines: FleetMachine, waiting_tasks: int = 0) -> dict[str, str]:
         autoscaler = Autoscaler(
-            Tuning(pool_size=0, pool_share=0.0, cooldown=10 * SECOND, started=15 * SECOND), AGENT_DURATIONS
+            Tuning(pool_size=0, pool_share=0.0, cooldown=10 * SECOND, started=15 * SECOND),
+            AGENT_DURATIONS,
+            StrictErrors(),
         )
         result: dict[str, str] = {}
         for second in range(20):
@@ -334,7 +339,7 @@
 
 
 def test_faulty_silent_and_preempted_machines_are_drained() -> None:
-    autoscaler = Autoscaler(Tuning(), AGENT_DURATIONS)
+    autoscaler = Autoscaler(Tuning(), AGENT_DURATIONS, StrictErrors())
     machines = [
         fleet_machine("vm-sick", fault_indicating_job_count=2),
         fleet_machine("vm-silent", silent_for=31 * SECOND),
--- a/tests/virtual/node.py
+++ b/tests/virtual/node.py
@@ -12,6 +12,7 @@
 from ramptide.protocol.agents import COMMANDS_PATH, INSPECT_PATH
 from ramptide.protocol.key_value_store import TRANSACTION_PATH
 from ramptide.protocol.settings_file import decode_settings
+from ramptide.transport.isolated_errors import ERROR_COUNTER
 from ramptide.transport.runtime import Request
 from virtual.clock import EPOCH, SECOND
 from virtual.network import CLOUD, STORE, Respond, Response, ignore_response
@@ -217,6 +218,7 @@
             return
         if not self.event_cost:
             action()
+            self._check_errors()
             return
         queue = self._deferrable_events if deferrable else self._urgent_events
         queue.append(lambda: action() if runtime.alive else None)
@@ -224,6 +226,14 @@
             self._is_handling_events = True
             self._handle_next_event()
 
+    def _check_errors(self) -> None:
+        """Fail the test for an error that the controller has kept from ending other work, unless errors are expected.
+
+        The error itself is in the log.
+        """
+        if self.controller is not None and not self.world.expects_errors:
+            assert not self.controller.state.counters[ERROR_COUNTER], f"{self.name}: work left out, see the log"
+
     def _dispatch_if_alive(self, runtime: VirtualRuntime, action: Callable[[], None], deferrable: bool) -> None:
         if runtime.alive:
             self.dispatch(runtime, action, deferrable)
@@ -234,6 +244,7 @@
             self._is_handling_events = False
             return
         queue.popleft()()
+        self._check_errors()
         self.world.after(self.event_cost, self._handle_next_event)
 
     @property
--- a/tests/virtual/world.py
+++ b/tests/virtual/world.py
@@ -49,6 +49,8 @@
         #: The guarantees of teams in CPUs.
         self.guarantees: dict[str, float] = {}
         self.features = features
+        #: Whether errors are brought about in controllers, which keep them from ending other work.
+        self.expects_errors = False
         # The hosts.
         self.store = KeyValueStore(self)
         self.cloud = Cloud(self, capacity)
