A poll finds a job that is accepted between its two reads

Cause: a poll reads the live keys, then the final state. A job that is accepted between the two reads is in neither.

Change: when there is no final state, a job that the copy shows by now is answered with its state.

--- a/src/ramptide/api/job_lookup.py
+++ b/src/ramptide/api/job_lookup.py
@@ -108,14 +108,15 @@
 
         self._store.get(FINISHED_PREFIX + job_id, on_result, on_send)
 
-    def _apply_result(self, job_id: str, result: ReadResult) -> FinishedJobRecord | LookupFailure:
+    def _apply_result(self, job_id: str, result: ReadResult) -> Job | FinishedJobRecord | LookupFailure:
         if not result.is_known:
             return LookupFailure.UNAVAILABLE
-        if result.key_value is None:
-            # A job whose key is there was accepted; it is not among the live jobs when its record cannot be read.
-            has_record = bool(self._watch_cache.mod_revision(JOB_PREFIX + job_id))
-            return LookupFailure.UNAVAILABLE if has_record else LookupFailure.NO_SUCH_JOB
-        return self._apply_record(job_id, result.key_value)
+        if result.key_value is not None:
+            return self._apply_record(job_id, result.key_value)
+        if not self._watch_cache.mod_revision(JOB_PREFIX + job_id):
+            return LookupFailure.NO_SUCH_JOB
+        # The job was accepted since the read of the live jobs, or its record cannot be read.
+        return self._jobs.get(job_id, LookupFailure.UNAVAILABLE)
 
     def _apply_record(self, job_id: str, key_value: KeyValue) -> FinishedJobRecord | LookupFailure:
         try:
