The decision loop leaves decisions about tasks and the passing of time to parts of their own

Change: `TaskDecisions` has placement, preemption and handover, `PassedTime` the expiry of leases, the step-down, draining and the logs at intervals, each step isolated. `DecisionLoop` takes 15 dependencies. The tests of tiny amounts and of isolated errors share their other jobs (tests/virtual/scenarios.py), where the same lines stood twice.

--- a/src/ramptide/controller/controller.py
+++ b/src/ramptide/controller/controller.py
@@ -36,12 +36,14 @@
 from ramptide.controller.fencing import Fencing, SurvivingPeers
 from ramptide.controller.finished_jobs import FinishedJobs
 from ramptide.controller.machine_types import MachineTypeReader
+from ramptide.controller.passed_time import PassedTime
 from ramptide.controller.peer_messages import DesiredStateGate, PeerMessageHandler
 from ramptide.controller.reconciliation import Reconciliation
 from ramptide.controller.replication import Replication
 from ramptide.controller.shares import QuotaShares
 from ramptide.controller.state import ControllerState
 from ramptide.controller.store_events import StoreEvents
+from ramptide.controller.task_decisions import TaskDecisions
 from ramptide.controller.timings import ControllerTimings
 from ramptide.controller.view_change import ViewChange
 from ramptide.protocol.agents import Heartbeat
@@ -357,26 +359,32 @@
             member_listeners=[self.replication, self.share_split, *quota_listeners],
             telemetry=self.telemetry,
         )
-        self.decision_loop = DecisionLoop(
-            runtime,
+        passed_time = PassedTime(
             state,
             self.authority,
             self.fencing,
             self.machine_index,
+            self.agent_connectivity,
+            self.telemetry,
+            self.agent_statistics,
+            self.errors,
+        )
+        task_decisions = TaskDecisions(self.authority, self.placement_round, self.preemptor, self.handover, self.errors)
+        self.decision_loop = DecisionLoop(
+            runtime,
+            state,
+            self.machine_index,
             self.assignments,
             self.reconciliation,
-            self.agent_connectivity,
             self.heartbeats,
             self.direct_stops,
             self.replication,
-            self.placement_round,
-            self.preemptor,
-            self.handover,
+            passed_time,
+            task_decisions,
             self.result_writer,
             self.limit_table,
             self.quota,
             self.telemetry,
-            self.agent_statistics,
             self.errors,
         )
 
--- a/src/ramptide/controller/decision_loop.py
+++ b/src/ramptide/controller/decision_loop.py
@@ -7,22 +7,16 @@
 from ramptide.agents.direct_stops import DirectStops
 from ramptide.agents.heartbeats import HeartbeatHandler
 from ramptide.agents.shard import Shard
-from ramptide.agents.statistics import AgentStatistics
 from ramptide.api.telemetry import Telemetry
 from ramptide.cluster.machine_index import MachineIndex
-from ramptide.controller.agent_connectivity import AgentConnectivity
 from ramptide.controller.assignments import Assignments
-from ramptide.controller.authority import Authority
-from ramptide.controller.fencing import Fencing
+from ramptide.controller.passed_time import PassedTime
 from ramptide.controller.peer_messages import apply_acknowledgement
 from ramptide.controller.reconciliation import Reconciliation
 from ramptide.controller.replication import Replication
 from ramptide.controller.state import ControllerState
-from ramptide.scheduling.draining import stop_on_draining_machines
-from ramptide.scheduling.handover import JobHandover
+from ramptide.controller.task_decisions import TaskDecisions
 from ramptide.scheduling.job_scheduler import JobScheduler
-from ramptide.scheduling.placement_round import PlacementRound
-from ramptide.scheduling.preemption import Preemptor
 from ramptide.scheduling.results import ResultWriter
 from ramptide.transport.isolated_errors import IsolatedErrors
 from ramptide.transport.runtime import Runtime
@@ -58,44 +52,34 @@
         self,
         runtime: Runtime,
         state: ControllerState,
-        authority: Authority,
-        fencing: Fencing,
         machine_index: MachineIndex,
         assignments: Assignments,
         reconciliation: Reconciliation,
-        agent_connectivity: AgentConnectivity,
         heartbeats: HeartbeatHandler,
         direct_stops: DirectStops,
         replication: Replication,
-        placement_round: PlacementRound,
-        preemptor: Preemptor,
-        handover: JobHandover,
+        passed_time: PassedTime,
+        task_decisions: TaskDecisions,
         result_writer: ResultWriter,
         limit_table: LimitReview | None,
         quota: QuotaReview | None,
         telemetry: Telemetry,
-        agent_statistics: AgentStatistics,
         errors: IsolatedErrors,
     ) -> None:
         self._runtime = runtime
         self._state = state
-        self._authority = authority
-        self._fencing = fencing
         self._machine_index = machine_index
         self._assignments = assignments
         self._reconciliation = reconciliation
-        self._agent_connectivity = agent_connectivity
         self._heartbeats = heartbeats
         self._direct_stops = direct_stops
         self._replication = replication
-        self._placement_round = placement_round
-        self._preemptor = preemptor
-        self._handover = handover
+        self._passed_time = passed_time
+        self._task_decisions = task_decisions
         self._result_writer = result_writer
         self._limit_table = limit_table
         self._quota = quota
         self._telemetry = telemetry
-        self._agent_statistics = agent_statistics
         self._errors = errors
         self._last_slow_round = timedelta(0)
 
@@ -129,7 +113,7 @@
         scheduler.needs_round = False
         if is_slow_round:
             self._last_slow_round = now
-            self._run_part("passed time", lambda: self._process_passed_time(scheduler, shard, now))
+            self._passed_time.process(scheduler, shard, now)
         changed_machines = shard.pop_changed()
         for host in changed_machines:
             try:
@@ -138,10 +122,7 @@
                 self._errors.record("machine status", host)
         self._run_part("acknowledgements", lambda: self._apply_own_acknowledgements(scheduler, shard))
         self._run_part("reconciliation", self._reconciliation.update_reconciled)
-        if self._authority.may_start():
-            self._run_part("placement", lambda: self._placement_round.run(scheduler, now))
-            self._run_part("preemption", lambda: self._preemptor.run(scheduler, now))
-            self._run_part("handover", lambda: self._handover.run(scheduler, now))
+        self._task_decisions.run(scheduler, now)
         self._run_part("team limits", lambda: self._review_limits(scheduler, now))
         self._run_part("replication", lambda: self._replication.record_changes(scheduler, shard, changed_machines))
         self._run_part("held heartbeats", lambda: self._heartbeats.reply_to_held(now))
@@ -159,11 +140,3 @@
             self._limit_table.activate_pending_limits()
         if self._quota is not None:
             self._quota.run_round(scheduler, now)
-
-    def _process_passed_time(self, scheduler: JobScheduler, shard: Shard, now: timedelta) -> None:
-        expired = shard.leases.expire(now, self._fencing.others_fenced_at())
-        self._telemetry.record_expired_leases(expired, is_confirmed=self._authority.may_reply())
-        self._agent_connectivity.step_down_if_cut_off(shard)
-        stop_on_draining_machines(scheduler, self._state.machines, self._machine_index.machines)
-        self._authority.log_change()
-        self._agent_statistics.write_log(shard.view, now)
--- a/tests/test_extreme_amounts.py
+++ b/tests/test_extreme_amounts.py
@@ -23,7 +23,7 @@
 from ramptide.protocol.cloud import MachineType
 from ramptide.protocol.jobs import MAX_TASKS, decode_job_spec
 from ramptide.state.records import MachineRecord
-from virtual import World, job_spec, run_with_checks, started_world
+from virtual import World, check_other_jobs_are_served, job_spec, started_world, submit_other_jobs
 
 #: The smallest positive floating-point number, the amount with which the fault was found, and other tiny ones.
 TINY_AMOUNTS = (0.0, 5e-324, 1e-310, 2.3e-308, 1e-300, 1e-100, 1e-9)
@@ -31,7 +31,6 @@
 DURATIONS = ("imageGb", "guessS", "markEveryS", "markCostS", "dueS")
 #: No job is left waiting for longer while a machine that fits has room.
 MAX_WAITING_TIME_S = 90
-OTHERS = [f"j-{number}" for number in range(10, 16)]
 
 amounts = st.one_of(st.sampled_from(TINY_AMOUNTS), st.floats(0, 1e9), st.floats(0, 1e-300))
 free_amounts = st.floats(-1e9, 1e9)
@@ -86,24 +85,6 @@
     assert consolidation.choose_machine(timedelta(seconds=100), machines, {}, Tuning()) == "vm-2"
 
 
-def submit_others(world: World) -> None:
-    world.define_job("j-9", shape="service", rank="production", pieces=2, cores=1.0)
-    for job_id in OTHERS:
-        world.define_job(job_id, pieces=2, cores=1.0)
-    for job_id in ("j-9", *OTHERS):
-        assert world.submit_until_accepted(job_id, "c0")
-
-
-def check_others_are_served(world: World) -> None:
-    def are_served() -> bool:
-        replicas = [task for _, task in world.invariants.running_tasks() if task.job_id == "j-9"]
-        return len(replicas) == 2 and all(world.is_done(job_id) for job_id in OTHERS)
-
-    assert world.run_until(are_served, MAX_WAITING_TIME_S)
-    run_with_checks(world, 5)
-    assert world.invariants.violations == []
-
-
 def check_runs_to_its_end(world: World, job_id: str) -> None:
     """Check that an array is done, and that a service runs until it is cancelled."""
     spec = world.job_specs[job_id]
@@ -125,8 +106,8 @@
     world = started_world()
     world.define_job("j-1", pieces=3, **dict.fromkeys(fields, amount))
     assert world.submit_until_accepted("j-1", "c0")
-    submit_others(world)
-    check_others_are_served(world)
+    submit_other_jobs(world, "c0")
+    check_other_jobs_are_served(world, MAX_WAITING_TIME_S)
     check_runs_to_its_end(world, "j-1")
 
 
@@ -135,12 +116,12 @@
 def test_job_of_tiny_amounts_alone_is_accepted_beside_free_room_and_runs(kind: str, amount: float) -> None:
     """Guards against the answer 500 to a submission while machines have room."""
     world = started_world()
-    submit_others(world)
+    submit_other_jobs(world, "c0")
     assert world.run_until(lambda: len(world.invariants.running_tasks()) > 2, 60)
     amounts_of_job = dict.fromkeys((*RESOURCES, *DURATIONS), amount) | {"pieces": 5, "shape": kind}
     world.define_job("j-1", **amounts_of_job)
     assert world.submit_until_accepted("j-1", "c1", tries=1)
-    check_others_are_served(world)
+    check_other_jobs_are_served(world, MAX_WAITING_TIME_S)
     check_runs_to_its_end(world, "j-1")
 
 
@@ -159,6 +140,6 @@
     world = started_world()
     world.define_job("j-1", pieces=2, cores=1.0, markEveryS=1e9, markCostS=1e9, dueS=1e9, guessS=1e9)
     assert world.submit_until_accepted("j-1", "c0")
-    submit_others(world)
-    check_others_are_served(world)
+    submit_other_jobs(world, "c0")
+    check_other_jobs_are_served(world, MAX_WAITING_TIME_S)
     assert sum(task.job_id == "j-1" for _, task in world.invariants.running_tasks()) == 2
--- a/tests/test_isolated_errors.py
+++ b/tests/test_isolated_errors.py
@@ -25,10 +25,17 @@
 from ramptide.scheduling.results import ResultWriter
 from ramptide.scheduling.rooms import RoomFinder
 from ramptide.transport.isolated_errors import ERROR_COUNTER, LOG_INTERVAL, MAX_REMEMBERED, IsolatedErrors
-from virtual import World, leader_of, run_with_checks, started_world
+from virtual import (
+    OTHER_ARRAYS,
+    World,
+    check_other_jobs_are_served,
+    leader_of,
+    run_with_checks,
+    started_world,
+    submit_other_jobs,
+)
 
 BAD = "j-1"
-OTHERS = [f"j-{number}" for number in range(10, 16)]
 #: No job is left waiting for longer while a machine that fits has room.
 MAX_WAITING_TIME_S = 90
 
@@ -68,19 +75,8 @@
     world.expects_errors = True
     world.define_job(BAD, **({"pieces": 3, "cores": 1.0, "guessS": 2.0} | fields))
     assert world.submit_until_accepted(BAD, "c0")
-    world.define_job("j-9", shape="service", rank="production", pieces=2, cores=1.0)
-    for job_id in OTHERS:
-        world.define_job(job_id, pieces=2, cores=1.0)
-    for job_id in ("j-9", *OTHERS):
-        assert world.submit_until_accepted(job_id, "c1")
-
-    def are_served() -> bool:
-        replicas = [task for _, task in world.invariants.running_tasks() if task.job_id == "j-9"]
-        return len(replicas) == 2 and all(world.is_done(job_id) for job_id in OTHERS)
-
-    assert world.run_until(are_served, MAX_WAITING_TIME_S)
-    run_with_checks(world, 5)
-    assert world.invariants.violations == []
+    submit_other_jobs(world, "c1")
+    check_other_jobs_are_served(world, MAX_WAITING_TIME_S)
     assert sum(error_counts(world).values())
 
 
@@ -122,10 +118,10 @@
     monkeypatch.setattr(PlacementRound, "_start_array", start_and_fail)
     world = started_world(teams={"team": 4.0})
     world.expects_errors = True
-    for job_id in OTHERS:
+    for job_id in OTHER_ARRAYS:
         world.define_job(job_id, pieces=6, cores=1.0)
         assert world.submit_until_accepted(job_id, "c0")
-    assert world.run_until(lambda: all(world.is_done(job_id) for job_id in OTHERS), 240)
+    assert world.run_until(lambda: all(world.is_done(job_id) for job_id in OTHER_ARRAYS), 240)
     assert world.invariants.violations == []
     assert sum(error_counts(world).values())
 
--- a/tests/virtual/__init__.py
+++ b/tests/virtual/__init__.py
@@ -31,13 +31,16 @@
 from virtual.node import Node, VirtualRuntime, VirtualTimerHandle
 from virtual.observer import Observer
 from virtual.scenarios import (
+    OTHER_ARRAYS,
     busy_world,
+    check_other_jobs_are_served,
     end_faults,
     large_busy_world,
     restart_controller,
     restart_owner_after_each_renewal,
     run_with_checks,
     running_attempts,
+    submit_other_jobs,
 )
 from virtual.settings import SETTINGS_FILE, cluster_settings
 from virtual.users import Users, cancel_job, submit_job
@@ -50,6 +53,7 @@
     "MACHINE_CPUS",
     "MACHINE_RAM_GB",
     "MILLISECOND",
+    "OTHER_ARRAYS",
     "OVERLAPPING_FAULTS",
     "QUOTA_ON",
     "SECOND",
@@ -80,6 +84,7 @@
     "busy_world",
     "cancel_job",
     "check_indexes",
+    "check_other_jobs_are_served",
     "cluster_settings",
     "cut_store_link",
     "end_faults",
@@ -102,4 +107,5 @@
     "starved_jobs",
     "store_refuses_controller",
     "submit_job",
+    "submit_other_jobs",
 ]
--- a/tests/virtual/scenarios.py
+++ b/tests/virtual/scenarios.py
@@ -82,3 +82,29 @@
             renewed_at, renewals = agent.lease_renewed_at, renewals + 1
             restart_controller(world, world.controller_names[agent.controller_index], downtime_s)
     return renewals
+
+
+#: A service and arrays of users whom the trouble of another job must not concern.
+OTHER_SERVICE = "j-9"
+OTHER_ARRAYS = [f"j-{number}" for number in range(10, 16)]
+
+
+def submit_other_jobs(world: World, controller_name: str) -> None:
+    """Submit a service of two replicas and some short arrays, which are accepted."""
+    world.define_job(OTHER_SERVICE, shape="service", rank="production", pieces=2, cores=1.0)
+    for job_id in OTHER_ARRAYS:
+        world.define_job(job_id, pieces=2, cores=1.0)
+    for job_id in (OTHER_SERVICE, *OTHER_ARRAYS):
+        assert world.submit_until_accepted(job_id, controller_name)
+
+
+def check_other_jobs_are_served(world: World, seconds: float) -> None:
+    """Check that the service runs and the arrays are done within a time, and that no invariant is violated."""
+
+    def are_served() -> bool:
+        replicas = running_attempts(world, OTHER_SERVICE)
+        return len(replicas) == 2 and all(world.is_done(job_id) for job_id in OTHER_ARRAYS)
+
+    assert world.run_until(are_served, seconds)
+    run_with_checks(world, 5)
+    assert world.invariants.violations == []
