An error in a held heartbeat or a direct stop does not keep the round from being run

Cause: the loop answered held heartbeats and sent direct stops before each round, outside of what isolates. An error there ended the round before it began.

Change: both are isolated like the parts of the round.

--- a/src/ramptide/controller/decision_loop.py
+++ b/src/ramptide/controller/decision_loop.py
@@ -95,8 +95,8 @@
         is_slow_round = now - self._last_slow_round >= SLOW_ROUND_INTERVAL
         has_changes = scheduler.needs_round or bool(shard.changed_hosts)
         self._schedule_next(ROUND_INTERVAL if has_changes else IDLE_ROUND_INTERVAL)
-        self._heartbeats.reply_to_held(now)
-        self._direct_stops.send_waiting()
+        self._run_part("held heartbeats", lambda: self._heartbeats.reply_to_held(now))
+        self._run_part("direct stops", self._direct_stops.send_waiting)
         if is_slow_round or has_changes:
             self._run_round(scheduler, shard, now, is_slow_round)
         self._replication.send(scheduler, shard, now)
--- a/tests/test_isolated_errors.py
+++ b/tests/test_isolated_errors.py
@@ -4,6 +4,7 @@
 results or the watch of the records, and so stops the service for everybody while its processes seem healthy.
 """
 
+import contextlib
 import logging
 from collections import Counter
 from collections.abc import Callable
@@ -13,6 +14,9 @@
 
 import pytest
 
+from ramptide.agents.direct_stops import DirectStops
+from ramptide.agents.heartbeats import HeartbeatHandler
+from ramptide.agents.statistics import AgentStatistics
 from ramptide.autoscaling import demand_fitting
 from ramptide.autoscaling.fleet_observation import FleetObservation
 from ramptide.cluster.machine_index import MachineIndex
@@ -55,6 +59,16 @@
     return call
 
 
+def receive_unless_raising(receive: Callable[..., None]) -> Callable[..., None]:
+    """Return the handling of a request as the event loop does it, where an error ends that request alone."""
+
+    def call(*arguments: Any) -> None:
+        with contextlib.suppress(BroughtAboutError):
+            receive(*arguments)
+
+    return call
+
+
 def choose_schedulers(monkeypatch: pytest.MonkeyPatch, choose: Callable[[str], str]) -> None:
     """Have controllers that are started from now on choose the scheduler of a new job by its id."""
     monkeypatch.setattr(RoomFinder, "choose_scheduler", lambda _self, spec: choose(spec.job_id))
@@ -137,6 +151,42 @@
     check_bad_job_is_known(world)
 
 
+@pytest.mark.parametrize(
+    ("part", "method"),
+    [(DirectStops, "send_waiting"), (AgentStatistics, "write_log")],
+)
+def test_rounds_go_on_when_what_comes_before_them_fails(
+    monkeypatch: pytest.MonkeyPatch, part: type, method: str
+) -> None:
+    """Guards against a reply, a stop or a log line that keeps each round of a controller from being run."""
+
+    def fails(*_arguments: Any) -> None:
+        raise BroughtAboutError
+
+    monkeypatch.setattr(part, method, fails)
+    world = World(1)
+    world.expects_errors = True
+    for node in world.nodes.values():
+        node.start()
+    world.run(10)
+    check_others_run_beside_the_bad_job(world)
+    check_bad_job_is_known(world)
+
+
+def test_others_run_when_one_held_heartbeat_cannot_be_answered(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against one machine that keeps each round of its owner from being run."""
+    world = started_world()
+    world.expects_errors = True
+    assert world.run_until(lambda: any(agent.booted for agent in world.agents.values()), 30)
+    bad_host = next(host for host, agent in world.agents.items() if agent.booted)
+    fails = fail_for(lambda _self, heartbeat, *_: heartbeat.host, HeartbeatHandler._reply, bad_host)
+    monkeypatch.setattr(HeartbeatHandler, "_reply", fails)
+    monkeypatch.setattr(
+        HeartbeatHandler, "receive_heartbeat", receive_unless_raising(HeartbeatHandler.receive_heartbeat)
+    )
+    check_others_run_beside_the_bad_job(world)
+
+
 def test_others_are_preempted_for_when_one_claim_cannot_be_processed(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against one waiting job that ends preemption for all."""
     fails = fail_for(lambda spec, *_: spec.job_id, preemption.choose_victims)
