Test: each step of the passing of time runs when another one fails

Change: a test lets each step fail in turn and checks that the four others run and that the error is counted once.

No source changed.

--- a/tests/test_isolated_errors.py
+++ b/tests/test_isolated_errors.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 from types import SimpleNamespace
-from typing import Any
+from typing import Any, cast
 
 import pytest
 
@@ -21,6 +21,7 @@
 from ramptide.autoscaling.fleet_observation import FleetObservation
 from ramptide.cluster.machine_index import MachineIndex
 from ramptide.controller.assignments import Assignments
+from ramptide.controller.passed_time import PassedTime
 from ramptide.placement.bin_packing import fill_rooms
 from ramptide.scheduling import placement_round, preemption
 from ramptide.scheduling.handover import JobHandover
@@ -173,6 +174,38 @@
     check_bad_job_is_known(world)
 
 
+@pytest.mark.parametrize("failing", range(5))
+def test_each_step_of_the_passing_of_time_runs_when_another_one_fails(failing: int) -> None:
+    """Guards against an error in one step, such as the expiry of leases, that keeps a controller from stepping down."""
+    done: list[int] = []
+
+    def step(number: int) -> Callable[..., Any]:
+        def run(*_arguments: Any) -> list[Any]:
+            if number == failing:
+                raise BroughtAboutError
+            done.append(number)
+            return []
+
+        return run
+
+    counters = Counter[str]()
+    passed_time = PassedTime(
+        cast(Any, SimpleNamespace(machines={}, member="c0")),
+        cast(Any, SimpleNamespace(may_reply=lambda: True, log_change=step(3))),
+        cast(Any, SimpleNamespace(others_fenced_at=lambda: None)),
+        cast(Any, SimpleNamespace(machines={})),
+        cast(Any, SimpleNamespace(step_down_if_cut_off=step(1))),
+        cast(Any, SimpleNamespace(record_expired_leases=lambda _expired, is_confirmed: None)),
+        cast(Any, SimpleNamespace(write_log=step(4))),
+        IsolatedErrors(SimpleNamespace(now=timedelta(0)), counters),
+    )
+    passed_time._stop_on_draining_machines = step(2)  # type: ignore[method-assign]
+    shard = SimpleNamespace(view=1, leases=SimpleNamespace(expire=step(0)))
+    passed_time.process(cast(Any, SimpleNamespace()), cast(Any, shard), timedelta(0))
+    assert done == [number for number in range(5) if number != failing]
+    assert counters == {ERROR_COUNTER: 1}
+
+
 def test_others_run_when_one_held_heartbeat_cannot_be_answered(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against one machine that keeps each round of its owner from being run."""
     world = started_world()
