Simulated worlds may have the deployments' intervals, and links that are healed one by one

Need: the simulated agents sent a heartbeat every second and kept a lease of 8 s. Requests that were held on cut links all arrived at the same instant, so that no decision round ran between two of them.

Change: the intervals belong to the world (defaults as before). Links may be healed without healing all others, and an interval may lie between two held requests.

--- a/tests/test_cancelled_tasks.py
+++ b/tests/test_cancelled_tasks.py
@@ -5,7 +5,6 @@
 from ramptide.protocol.agents import TaskStatus
 from virtual import (
     SECOND,
-    Agent,
     World,
     busy_world,
     owner_of,
@@ -46,7 +45,7 @@
     world.hosts_without_responses.add(host)
     assert world.cancel_job("j-1", next(name for name in world.controller_names if name != owner))
     world.nodes[owner].kill()
-    lease_ends_at = world.agents[host].lease_renewed_at + Agent.LEASE_DURATION
+    lease_ends_at = world.agents[host].lease_renewed_at + world.agents[host].lease_duration
     assert world.run_until(lambda: not has_active_tasks(world, host), 20)
     assert world.now < lease_ends_at - 0.5 * SECOND
 
@@ -69,7 +68,7 @@
     cancelled_at = world.now
     assert world.cancel_job("j-1", "c0")
     assert world.run_until(lambda: not has_active_tasks(world, host), 20)
-    assert world.now - cancelled_at <= Agent.LEASE_DURATION + 1 * SECOND
+    assert world.now - cancelled_at <= world.lease_s * SECOND + 1 * SECOND
 
 
 @pytest.mark.parametrize("seed", [96, 882260, 4100101, 4201946])
--- a/tests/virtual/agent.py
+++ b/tests/virtual/agent.py
@@ -19,7 +19,8 @@
 CAPACITY_TOLERANCE_CPUS = 1e-6
 
 HEARTBEAT_TIMEOUT = 4 * SECOND
-HEARTBEAT_INTERVAL_S = 1.0
+#: The interval of heartbeats and the duration of leases, unless a world sets others.
+HEARTBEAT_INTERVAL_S, LEASE_S = 1.0, 8.0
 #: The time to the next heartbeat after a redirect, and after a failed request.
 REDIRECT_INTERVAL_S, RETRY_INTERVAL_S = 0.2, 1.0
 #: The shortest time between a heartbeat and the next one, which reports a change.
@@ -91,9 +92,15 @@
     #: The number of times that the next heartbeat was scheduled; only the latest schedule counts.
     _schedule_count: int = 0
 
-    LEASE_DURATION = 8 * SECOND
-    #: Within this time, a higher fencing token counts as a change at most once.
-    TOKEN_CHANGE_INTERVAL = LEASE_DURATION / 2
+    @property
+    def lease_duration(self) -> timedelta:
+        """How long its tasks run on after the last heartbeat that was answered."""
+        return self.world.lease_s * SECOND
+
+    @property
+    def token_change_interval(self) -> timedelta:
+        """The time within which a higher fencing token counts as a change at most once."""
+        return self.lease_duration / 2
 
     # The state of the machine.
 
@@ -127,7 +134,7 @@
 
     @property
     def _is_lease_expired(self) -> bool:
-        return self.world.now - self.lease_renewed_at > self.LEASE_DURATION
+        return self.world.now - self.lease_renewed_at > self.lease_duration
 
     @property
     def may_run_tasks(self) -> bool:
@@ -161,12 +168,12 @@
             self._send_heartbeat()
 
     def _raise_token(self, fencing_token: int) -> None:
-        """Store a token; a higher one is reported soon, unless another one was within `TOKEN_CHANGE_INTERVAL`."""
+        """Store a token; a higher one is reported soon, unless another one was within `token_change_interval`."""
         if fencing_token <= self.fencing_token:
             return
         self.fencing_token = fencing_token
         now = self.world.now
-        if self.token_changed_at is not None and now - self.token_changed_at < self.TOKEN_CHANGE_INTERVAL:
+        if self.token_changed_at is not None and now - self.token_changed_at < self.token_change_interval:
             return
         self.token_changed_at = now
         if self._is_heartbeat_in_flight:
@@ -212,7 +219,7 @@
         if self.world.now - sent_at > HEARTBEAT_TIMEOUT:
             # The response arrived while the machine hung, and the request has timed out since.
             response = None
-        interval_s = HEARTBEAT_INTERVAL_S * self.world.rng.uniform(0.75, 1.25)
+        interval_s = self.world.heartbeat_interval_s * self.world.rng.uniform(0.75, 1.25)
         may_report_change = False
         redirect = self._redirect_target(response)
         if response is not None and response.status == 200:
--- a/tests/virtual/network.py
+++ b/tests/virtual/network.py
@@ -71,7 +71,9 @@
         self.cut_links: set[frozenset[str]] = set()
         #: Whether requests over a cut link are delivered when it is healed; otherwise they are lost.
         self.holds_requests_on_cut_links = False
-        self.held_requests: list[Callable[[], None]] = []
+        self.held_requests: list[tuple[frozenset[str], Callable[[], None]]] = []
+        #: The time between two held requests when a link is healed, in which the receiver may act on the first one.
+        self.held_request_interval = timedelta(0)
         #: Hosts whose requests arrive, while the responses to these requests are lost.
         self.hosts_without_responses: set[str] = set()
         self.slow_links: dict[frozenset[str], SlowLink] = {}
@@ -105,11 +107,17 @@
 
     def heal(self) -> None:
         """Restore all cut links, stop the loss of responses, and deliver the held requests."""
-        self.cut_links.clear()
         self.hosts_without_responses.clear()
-        held, self.held_requests = self.held_requests, []
-        for deliver in held:
-            self.after(5 * MILLISECOND, deliver)
+        self.heal_links(self.cut_links)
+
+    def heal_links(self, links: Collection[frozenset[str]]) -> None:
+        """Restore some cut links, and deliver the requests that were held on them, in the order of their sending."""
+        healed = set(links)
+        self.cut_links -= healed
+        held = [deliver for link, deliver in self.held_requests if link in healed]
+        self.held_requests = [(link, deliver) for link, deliver in self.held_requests if link not in healed]
+        for number, deliver in enumerate(held):
+            self.after(5 * MILLISECOND + number * self.held_request_interval, deliver)
 
     def slow_down_links(self, one: str, others: Collection[str], in_order: bool) -> None:
         """Delay the messages between a host and each of the others, in both directions."""
@@ -156,7 +164,7 @@
                 request(respond)
             elif self.holds_requests_on_cut_links:
                 # The request is handled when the link is healed, although its caller no longer waits for it.
-                self.held_requests.append(lambda: request(ignore_response))
+                self.held_requests.append((frozenset((source, target)), lambda: request(ignore_response)))
 
         if self.rng.random() >= self.loss_rate:
             self.after(self._delay(source, target), deliver)
--- a/tests/virtual/settings.py
+++ b/tests/virtual/settings.py
@@ -26,7 +26,9 @@
             {"name": team, "cpus": world.guarantees.get(team, 0.0), "cpus_max": limit}
             for team, limit in world.teams.items()
         ],
-        "workers": {"report_s": 1.0, "lease_s": 8.0, "cancel_s": world.cancel_timeout_s},
+        "workers": {
+            "report_s": world.heartbeat_interval_s, "lease_s": world.lease_s, "cancel_s": world.cancel_timeout_s,
+        },
         "state": world.store_limits,
         "cloud": {"rps": 20.0, "list_lag_s": 2.0},
         "quota": {"cpu": 1.0, "ram_mb": 200.0, "fd_limit": fd_limit},
--- a/tests/virtual/world.py
+++ b/tests/virtual/world.py
@@ -13,7 +13,7 @@
 
 from ramptide.config.features import Features
 from ramptide.controller.controller import Controller
-from virtual.agent import Agent
+from virtual.agent import HEARTBEAT_INTERVAL_S, LEASE_S, Agent
 from virtual.cloud import Cloud
 from virtual.invariants import InvariantChecker
 from virtual.jobs import job_spec
@@ -34,6 +34,8 @@
         members: int = 3,
         features: Features | None = None,
         observer: Observer | None = None,
+        heartbeat_interval_s: float = HEARTBEAT_INTERVAL_S,
+        lease_s: float = LEASE_S,
     ) -> None:
         super().__init__(random.Random(seed))
         self.observer = observer
@@ -41,7 +43,8 @@
         self.request_counts: Counter[str] = Counter()
         self.sent_bytes: Counter[str] = Counter()
         self.longest_body_bytes = 0
-        # The settings of controllers that are started from now on.
+        # The settings of controllers that are started from now on, which agents follow as well.
+        self.heartbeat_interval_s, self.lease_s = heartbeat_interval_s, lease_s
         self.cancel_timeout_s = 20.0
         self.store_limits = {"rps": 300.0, "write_rps": 150.0, "value_kb": 16.0, "txn_ops": 12}
         #: The limit of each team in CPUs; 0 for no limit.
