The log tells who scheduled a job, when it was handed over, and on which messages a start relied

No line told who the job's scheduler was, when and why it was handed over, on which message of which controller the new scheduler relied, and which scheduler decided on each start.

Change: a line `scheduling` for each kind of event (handed over, refused, unanswered, taken over at which revision, proven by which messages; attempts started, adopted, adopted and stopped, refused, gone, not reported) and a line `task starts` at the owner of the machines. Each comes at most once a second with a count and up to ten examples, so their number does not grow with the fleet. Metrics `scheduling_events_total` and `task_starts_total`. The collection of such lines, which was part of `agents.statistics`, is a module of its own now.

The test of the steps of the passing of time has a sixth step now.

--- a/src/ramptide/agents/heartbeats.py
+++ b/src/ramptide/agents/heartbeats.py
@@ -15,12 +15,14 @@
 from ramptide.cluster.view import View
 from ramptide.config.tuning import Tuning
 from ramptide.protocol.agents import (
+    START_VERB,
     STOP_VERB,
     Command,
     Heartbeat,
     decode_heartbeat,
     encode_heartbeat_reply,
     encode_redirect,
+    parse_task_id,
 )
 from ramptide.protocol.types import MessageError, encode_json
 from ramptide.state.watch_cache import WatchCache
@@ -244,10 +246,19 @@
         else:
             commands = stops_of_finished_jobs(heartbeat, self._jobs)
             outcome = StopOutcome.SENT_WITH_TOKEN
+        self._record_starts(machine, commands)
         stopped = [command.task_id for command in commands if command.verb == STOP_VERB]
         self._statistics.record_stops(outcome, heartbeat.host, stopped)
         return commands
 
+    def _record_starts(self, machine: OwnedMachine | None, commands: list[Command]) -> None:
+        for command in commands:
+            if command.verb == START_VERB and machine is not None:
+                job_id, task_index = parse_task_id(command.task_id)
+                entry = machine.entries.get((job_id, task_index, command.attempt))
+                requested_by = entry.requested_by if entry is not None else None
+                self._statistics.record_start(machine.host, command.task_id, command.attempt, requested_by)
+
     def reply_to_held(self, now: timedelta) -> None:
         """Reply to the held heartbeats whose reply is due or whose machines have unsent commands."""
         shard = self._state.shard
--- a/src/ramptide/agents/statistics.py
+++ b/src/ramptide/agents/statistics.py
@@ -1,7 +1,4 @@
-"""What became of agents' heartbeats and of the stops of tasks: counters for the metrics, and bounded log lines.
-
-A log line stands for all events of its kind since the previous one, so that their number does not grow with the fleet.
-"""
+"""What became of agents' heartbeats and of starts and stops of tasks: counters for metrics, and bounded log lines."""
 
 import logging
 from collections import Counter
@@ -9,16 +6,16 @@
 from datetime import timedelta
 from enum import Enum
 
+from ramptide.transport.pending_line import PendingLine
+
 __all__ = ["AgentStatistics", "HeartbeatOutcome", "StopOutcome"]
 
 log = logging.getLogger(__name__)
 
-#: The shortest time between two lines about stops with the same outcome.
-STOP_LOG_INTERVAL = timedelta(seconds=1)
+#: The shortest time between two lines about stops with the same outcome, and between two lines about starts.
+TASK_LOG_INTERVAL = timedelta(seconds=1)
 #: The shortest time between two lines about refused heartbeats.
 REFUSAL_LOG_INTERVAL = timedelta(seconds=4)
-#: The number of tasks or machines that a line names.
-MAX_EXAMPLES = 10
 
 
 class HeartbeatOutcome(Enum):
@@ -52,20 +49,24 @@
 
 
 class AgentStatistics:
-    """Counts what became of heartbeats and stops since the start of the process, and logs it.
+    """Counts what became of heartbeats, starts and stops since the start of the process, and logs it.
 
     Attributes
     ----------
     heartbeats, stops
         The number of heartbeats, and of stops of tasks, by outcome.
+    starts
+        The number of start commands that were sent.
     """
 
     def __init__(self) -> None:
         self.heartbeats: Counter[HeartbeatOutcome] = Counter()
         self.stops: Counter[StopOutcome] = Counter()
-        self._stop_lines = {outcome: _PendingLine(STOP_LOG_INTERVAL) for outcome in StopOutcome}
+        self.starts = 0
+        self._start_line = PendingLine(TASK_LOG_INTERVAL)
+        self._stop_lines = {outcome: PendingLine(TASK_LOG_INTERVAL) for outcome in StopOutcome}
         self._refusals = {
-            outcome: _PendingLine(REFUSAL_LOG_INTERVAL)
+            outcome: PendingLine(REFUSAL_LOG_INTERVAL)
             for outcome in HeartbeatOutcome
             if outcome is not HeartbeatOutcome.ACCEPTED
         }
@@ -83,11 +84,20 @@
             self.stops[outcome] += 1
             line.add(f"{task_id} on {host}")
 
+    def record_start(self, host: str, task_id: str, attempt: int, requested_by: str | None) -> None:
+        """Count a start command in a reply; `requested_by`: the controller whose scheduler asked for it last."""
+        self.starts += 1
+        self._start_line.add(f"{task_id} attempt {attempt} on {host} for {requested_by}")
+
     def write_log(self, view: int, now: timedelta) -> None:
         """Log the events since the previous lines, for each outcome at most once an interval.
 
         `view`: the number of the present view, whose token the answers carry.
         """
+        if self._start_line.is_due(now):
+            line = self._start_line
+            log.info("task starts: view=%d tasks=%d examples=%r", view, line.count, line.examples())
+            line.restart(now)
         for stop, line in self._stop_lines.items():
             if line.is_due(now):
                 log.info(
@@ -104,28 +114,3 @@
                     line.examples(),
                 )
                 line.restart(now)
-
-
-class _PendingLine:
-    """The events of one kind that the next log line will stand for."""
-
-    def __init__(self, interval: timedelta) -> None:
-        self._interval = interval
-        self._logged_at: timedelta | None = None
-        self.count = 0
-        self._examples: list[str] = []
-
-    def add(self, example: str) -> None:
-        self.count += 1
-        if len(self._examples) < MAX_EXAMPLES:
-            self._examples.append(example)
-
-    def is_due(self, now: timedelta) -> bool:
-        return self.count > 0 and (self._logged_at is None or now - self._logged_at >= self._interval)
-
-    def restart(self, now: timedelta) -> None:
-        self._logged_at, self.count = now, 0
-        self._examples.clear()
-
-    def examples(self) -> str:
-        return ", ".join(self._examples)
--- a/src/ramptide/api/metrics.py
+++ b/src/ramptide/api/metrics.py
@@ -17,6 +17,7 @@
 from ramptide.autoscaling.autoscaler import Autoscaler
 from ramptide.cluster.machine_index import MachineIndex
 from ramptide.cluster.membership import Membership
+from ramptide.scheduling.statistics import SchedulingEvent, SchedulingStatistics
 from ramptide.state.watch_cache import WatchCache
 from ramptide.team_limits.usage import ResourceUsage, TeamUsageReport
 from ramptide.transport.isolated_errors import ERROR_COUNTER
@@ -72,6 +73,7 @@
         team_usage: TeamUsageReport,
         telemetry: Telemetry,
         agent_statistics: AgentStatistics,
+        scheduling_statistics: SchedulingStatistics,
         unavailable_dependencies: Callable[[], list[str]],
         quota_metrics: "Callable[[], Iterator[Metric]] | None",
         process: ProcessStatistics | None,
@@ -85,6 +87,7 @@
         self._team_usage = team_usage
         self._telemetry = telemetry
         self._agent_statistics = agent_statistics
+        self._scheduling_statistics = scheduling_statistics
         self._unavailable_dependencies = unavailable_dependencies
         self._quota_metrics = quota_metrics
         self._process = process
@@ -109,6 +112,7 @@
         yield from answer_metrics(self._telemetry)
         yield from lease_metrics(self._telemetry)
         yield from agent_metrics(self._agent_statistics)
+        yield scheduling_metric(self._scheduling_statistics)
         yield from stall_metrics(self._telemetry.stall_detector)
         if self._process is not None:
             yield from process_metrics(self._process, self._runtime.now)
@@ -209,6 +213,15 @@
     for stop in StopOutcome:
         stops.add_metric((stop.value,), statistics.stops[stop])
     yield stops
+    yield CounterMetricFamily("ramptide_task_starts", "start commands sent to agents", value=statistics.starts)
+
+
+def scheduling_metric(statistics: SchedulingStatistics) -> "Metric":
+    """Return the numbers of handovers and of what became of attempts."""
+    events = CounterMetricFamily("ramptide_scheduling_events", "events of the scheduler", labels=("event",))
+    for event in SchedulingEvent:
+        events.add_metric((event.value,), statistics.events[event])
+    return events
 
 
 def stall_metrics(stall_detector: StallDetector) -> "Iterator[Metric]":
--- a/src/ramptide/controller/administration.py
+++ b/src/ramptide/controller/administration.py
@@ -52,6 +52,7 @@
             team_usage,
             controller.telemetry,
             controller.agent_statistics,
+            controller.scheduling_statistics,
             unavailable_dependencies,
             quota_report.metrics if quota_report is not None else None,
             process,
--- a/src/ramptide/controller/assignments.py
+++ b/src/ramptide/controller/assignments.py
@@ -8,6 +8,7 @@
 from ramptide.controller.state import ControllerState
 from ramptide.scheduling.job_scheduler import JobScheduler
 from ramptide.scheduling.results import ResultWriter
+from ramptide.scheduling.statistics import SchedulingEvent, SchedulingStatistics
 from ramptide.state.jobs import Job
 from ramptide.state.records import MachineRecord
 from ramptide.transport.isolated_errors import IsolatedErrors
@@ -25,12 +26,14 @@
         state: ControllerState,
         machine_index: MachineIndex,
         result_writer: ResultWriter,
+        statistics: SchedulingStatistics,
         errors: IsolatedErrors,
     ) -> None:
         self._runtime = runtime
         self._state = state
         self._machine_index = machine_index
         self._result_writer = result_writer
+        self._statistics = statistics
         self._errors = errors
         #: Jobs that other controllers reported as finished and that the local watch cache still shows.
         self._finished_elsewhere: set[str] = set()
@@ -52,11 +55,21 @@
         if is_known:
             scheduler.reap_recorded_results(job.job_id)
             return
+        self._record_takeover(job)
         # The machines' statuses from other members may date from before this controller became the job's scheduler and
         # yet satisfy all that a handover waits for, so the tasks that they show are applied before any task is started.
         for host in self._machine_index.hosts_of_job(job.job_id):
             self._apply_status(scheduler, host)
 
+    def _record_takeover(self, job: Job) -> None:
+        handover = job.record.handover
+        if handover is not None and handover.view == self._state.require_view().number:
+            example = f"{job.job_id} from {handover.member} at revision {job.mod_revision}"
+            self._statistics.record(
+                SchedulingEvent.TAKEN_OVER,
+                f"{example} after message {handover.sequence_number} of view {handover.view}",
+            )
+
     def suspend(self, job_id: str) -> None:
         """Start no task of a job here before the next view, as a change of its record could not be applied."""
         scheduler = self._state.scheduler
--- a/src/ramptide/controller/controller.py
+++ b/src/ramptide/controller/controller.py
@@ -55,6 +55,7 @@
 from ramptide.scheduling.preemption import Preemptor
 from ramptide.scheduling.results import ResultWriter
 from ramptide.scheduling.rooms import RoomFinder
+from ramptide.scheduling.statistics import SchedulingStatistics
 from ramptide.scheduling.urgency_order import UrgencyOrder
 from ramptide.state.commit_batcher import CommitBatcher
 from ramptide.state.watch_cache import WatchCache
@@ -100,6 +101,7 @@
         self.errors = IsolatedErrors(runtime, self.state.counters)
         self.telemetry = Telemetry()
         self.agent_statistics = AgentStatistics()
+        self.scheduling_statistics = SchedulingStatistics()
         self._build_shared_state(settings, incarnation)
         self._build_authority()
         self.quota = self._build_quota_exchange() if features is not None and features.quota.enabled else None
@@ -161,7 +163,9 @@
         self.freshness = PeerFreshness(runtime, state.member, self.peers, timings.heartbeat_interval)
         self.fencing = Fencing(runtime, state, self.peers, timings.max_renewal_proof_age)
         self.surviving_peers = SurvivingPeers(runtime, state.member, self.machine_index, timings)
-        self.reconciliation = Reconciliation(runtime, state, self.machine_index, self.peers, self.telemetry)
+        self.reconciliation = Reconciliation(
+            runtime, state, self.machine_index, self.peers, self.telemetry, self.scheduling_statistics
+        )
         self.agent_connectivity = AgentConnectivity(runtime, state, self.membership, self.peers, self.machine_index)
         self.availability = Availability(
             runtime,
@@ -232,6 +236,7 @@
             fresh_members,
             may_start_job,
             quota,
+            self.scheduling_statistics,
             self.errors,
         )
 
@@ -244,7 +249,14 @@
             self.job_api.remember_finished,
             self.errors,
         )
-        self.assignments = Assignments(self.runtime, self.state, self.machine_index, self.result_writer, self.errors)
+        self.assignments = Assignments(
+            self.runtime,
+            self.state,
+            self.machine_index,
+            self.result_writer,
+            self.scheduling_statistics,
+            self.errors,
+        )
         self.finished_jobs = FinishedJobs(
             self.state, self.membership, self.watch_cache, self.assignments.is_finished_elsewhere
         )
@@ -358,6 +370,7 @@
             view_listeners=[self.peers, self.fleet_manager, self.preemptor, self.handover],
             member_listeners=[self.replication, self.share_split, *quota_listeners],
             telemetry=self.telemetry,
+            statistics=self.scheduling_statistics,
         )
         passed_time = PassedTime(
             state,
@@ -367,6 +380,7 @@
             self.agent_connectivity,
             self.telemetry,
             self.agent_statistics,
+            self.scheduling_statistics,
             self.errors,
         )
         task_decisions = TaskDecisions(self.authority, self.placement_round, self.preemptor, self.handover, self.errors)
--- a/src/ramptide/controller/passed_time.py
+++ b/src/ramptide/controller/passed_time.py
@@ -13,6 +13,7 @@
 from ramptide.controller.state import ControllerState
 from ramptide.scheduling.draining import stop_on_draining_machines
 from ramptide.scheduling.job_scheduler import JobScheduler
+from ramptide.scheduling.statistics import SchedulingStatistics
 from ramptide.transport.isolated_errors import IsolatedErrors
 
 __all__ = ["PassedTime"]
@@ -30,6 +31,7 @@
         agent_connectivity: AgentConnectivity,
         telemetry: Telemetry,
         agent_statistics: AgentStatistics,
+        scheduling_statistics: SchedulingStatistics,
         errors: IsolatedErrors,
     ) -> None:
         self._state = state
@@ -39,6 +41,7 @@
         self._agent_connectivity = agent_connectivity
         self._telemetry = telemetry
         self._agent_statistics = agent_statistics
+        self._scheduling_statistics = scheduling_statistics
         self._errors = errors
 
     def process(self, scheduler: JobScheduler, shard: Shard, now: timedelta) -> None:
@@ -48,6 +51,7 @@
         self._run("draining", lambda: self._stop_on_draining_machines(scheduler))
         self._run("log of the authority", self._authority.log_change)
         self._run("log of the agents", lambda: self._agent_statistics.write_log(shard.view, now))
+        self._run("log of the scheduler", lambda: self._scheduling_statistics.write_log(shard.view, now))
 
     def _run(self, name: str, step: Callable[[], object]) -> None:
         self._errors.run("passed time", name, step)
--- a/src/ramptide/controller/reconciliation.py
+++ b/src/ramptide/controller/reconciliation.py
@@ -8,6 +8,7 @@
 from ramptide.cluster.peers import Peers
 from ramptide.controller.state import ControllerState
 from ramptide.scheduling.job_state import JobState
+from ramptide.scheduling.statistics import SchedulingEvent, SchedulingStatistics
 from ramptide.state.records import Handover
 from ramptide.transport.runtime import Runtime
 
@@ -31,12 +32,14 @@
         machine_index: MachineIndex,
         peers: Peers,
         telemetry: Telemetry,
+        statistics: SchedulingStatistics,
     ) -> None:
         self._runtime = runtime
         self._state = state
         self._machine_index = machine_index
         self._peers = peers
         self._telemetry = telemetry
+        self._statistics = statistics
         self._logged_at = timedelta(0)
 
     def unreconciled_machines(self) -> dict[str, str]:
@@ -98,8 +101,21 @@
         handover = record.handover
         if handover is None or handover.view != view.number or handover.member == self._state.member:
             return True
-        return all(
-            self._last_message_processed_by(member, handover) >= handover.sequence_number for member in view.members
+        processed = {member: self._last_message_processed_by(member, handover) for member in view.members}
+        is_proven = min(processed.values()) >= handover.sequence_number
+        if is_proven:
+            self._record_proof(job_state, handover, processed)
+        return is_proven
+
+    def _record_proof(self, job_state: JobState, handover: Handover, processed: dict[str, int]) -> None:
+        """Record, once for each handover, on which messages of its former scheduler the start of tasks relies."""
+        if job_state.proven_handover == handover:
+            return
+        job_state.proven_handover = handover
+        proof = " ".join(f"{member}:{number}" for member, number in sorted(processed.items()))
+        example = f"{job_state.job.job_id} from {handover.member} at revision {job_state.job.mod_revision}"
+        self._statistics.record(
+            SchedulingEvent.HANDOVER_PROVEN, f"{example} after message {handover.sequence_number}, processed {proof}"
         )
 
     def _last_message_processed_by(self, member: str, handover: Handover) -> int:
--- a/src/ramptide/controller/view_change.py
+++ b/src/ramptide/controller/view_change.py
@@ -19,6 +19,7 @@
 from ramptide.controller.state import ControllerState
 from ramptide.controller.timings import ControllerTimings
 from ramptide.scheduling.job_scheduler import JobScheduler
+from ramptide.scheduling.statistics import SchedulingStatistics
 from ramptide.transport.runtime import Runtime
 
 __all__ = ["ViewChange"]
@@ -74,6 +75,7 @@
         view_listeners: Iterable[ViewListener],
         member_listeners: Iterable[MemberListener],
         telemetry: Telemetry,
+        statistics: SchedulingStatistics,
     ) -> None:
         self._runtime = runtime
         self._state = state
@@ -91,6 +93,7 @@
         self._view_listeners = list(view_listeners)
         self._member_listeners = list(member_listeners)
         self._telemetry = telemetry
+        self._statistics = statistics
 
     def on_view(self) -> None:
         """Apply the membership's new view.
@@ -148,7 +151,7 @@
         place_in_view = sorted(view.members).index(state.member)
         first_attempt = (view.number * MAX_MEMBERS + place_in_view) << ATTEMPT_BITS
         state.shard = shard
-        state.scheduler = JobScheduler(state.member, first_attempt, state.is_quarantined)
+        state.scheduler = JobScheduler(state.member, first_attempt, state.is_quarantined, self._statistics)
         for host, record in state.machines.items():
             self._assignments.add_owned_machine(host, record, last_possible_replies)
         for job in state.jobs.values():
--- a/src/ramptide/scheduling/handover.py
+++ b/src/ramptide/scheduling/handover.py
@@ -1,18 +1,18 @@
 """Handover of jobs that find no room on this controller's own machines to the leader, which may use all machines."""
 
-import logging
 from collections.abc import Callable
 from datetime import timedelta
 from typing import Protocol
 
 import msgspec
 
-from ramptide.clients.transactions import Put, Transaction, TransactionResult
+from ramptide.clients.transactions import Put, Transaction, TransactionOutcome, TransactionResult
 from ramptide.cluster.view import View
 from ramptide.config.tuning import Tuning
 from ramptide.scheduling.job_scheduler import JobScheduler
 from ramptide.scheduling.job_state import JobState
 from ramptide.scheduling.placement_round import LeadershipInfo
+from ramptide.scheduling.statistics import SchedulingEvent, SchedulingStatistics
 from ramptide.state.amounts import TeamAmounts
 from ramptide.state.commit_batcher import CommitBatcher
 from ramptide.state.records import JOB_PREFIX, Handover, to_value
@@ -22,9 +22,14 @@
 
 __all__ = ["JobHandover"]
 
-log = logging.getLogger(__name__)
-
 RETRY_DELAY = timedelta(milliseconds=500)
+EVENTS_BY_OUTCOME = {
+    TransactionOutcome.APPLIED: SchedulingEvent.HANDED_OVER,
+    TransactionOutcome.CONFLICT: SchedulingEvent.HANDOVER_CONFLICT,
+    TransactionOutcome.RATE_LIMITED: SchedulingEvent.HANDOVER_REFUSED,
+    TransactionOutcome.REFUSED: SchedulingEvent.HANDOVER_REFUSED,
+    TransactionOutcome.UNKNOWN: SchedulingEvent.HANDOVER_UNANSWERED,
+}
 
 
 class HandoverState(Protocol):
@@ -66,6 +71,8 @@
         Returns whether a job's tasks may be started here.
     quota
         The quota feature, or None where it is off.
+    statistics
+        Counts and logs what becomes of handovers.
     """
 
     def __init__(
@@ -79,6 +86,7 @@
         fresh_members: Callable[[], set[str]],
         may_start_job: Callable[[JobState], bool],
         quota: LimitWaits | None,
+        statistics: SchedulingStatistics,
         errors: IsolatedErrors,
     ) -> None:
         self._runtime = runtime
@@ -90,6 +98,7 @@
         self._fresh_members = fresh_members
         self._may_start_job = may_start_job
         self._quota = quota
+        self._statistics = statistics
         self._errors = errors
         self._in_flight = 0
 
@@ -128,9 +137,11 @@
         transaction = Transaction(conditions={key: job_state.job.mod_revision}, puts=[Put(key, to_value(record))])
         job_state.is_frozen = True
         self._in_flight += 1
-        self._commit(job_state, view, transaction, may_be_applied=False)
+        self._commit(job_state, view, handover, transaction, may_be_applied=False)
 
-    def _commit(self, job_state: JobState, view: View, transaction: Transaction, may_be_applied: bool) -> None:
+    def _commit(
+        self, job_state: JobState, view: View, handover: Handover, transaction: Transaction, may_be_applied: bool
+    ) -> None:
         """Write the handover of a job, and repeat the write until its result is known.
 
         The new scheduler relies on no task of the job being started here after the handover. `may_be_applied`: an
@@ -139,8 +150,8 @@
         """
 
         def on_result(result: TransactionResult) -> None:
+            self._record_result(job_state, view, handover, result)
             if result.is_applied:
-                log.debug("job handed over: job_id=%s scheduler=%s", job_state.job.job_id, view.leader)
                 self._watch_cache.apply_commit(transaction, result.commit_revision)
             if self._state.view is not view:
                 return
@@ -156,10 +167,19 @@
 
         def retry() -> None:
             if self._state.view is view:
-                self._commit(job_state, view, transaction, may_be_applied=True)
+                self._commit(job_state, view, handover, transaction, may_be_applied=True)
 
         self._commit_batcher.add(transaction, on_result)
 
+    def _record_result(self, job_state: JobState, view: View, handover: Handover, result: TransactionResult) -> None:
+        event = EVENTS_BY_OUTCOME[result.outcome]
+        example = (
+            f"{job_state.job.job_id} to {view.leader} after message {handover.sequence_number} of view {view.number}"
+        )
+        self._statistics.record(
+            event, f"{example} at revision {result.commit_revision}" if result.is_applied else example
+        )
+
     def _unfreeze(self, job_state: JobState, view: View) -> None:
         if self._state.view is view:
             self._in_flight -= 1
--- a/src/ramptide/scheduling/job_scheduler.py
+++ b/src/ramptide/scheduling/job_scheduler.py
@@ -10,6 +10,7 @@
 from ramptide.scheduling.attempts_in_transfer import AttemptsInTransfer
 from ramptide.scheduling.failing_jobs import FailingJobs
 from ramptide.scheduling.job_state import JobState
+from ramptide.scheduling.statistics import SchedulingEvent, SchedulingStatistics
 from ramptide.state.amounts import Amounts, add_amounts
 from ramptide.state.jobs import Job
 from ramptide.state.task_state import (
@@ -40,10 +41,16 @@
         The first attempt gets the number after this one.
     is_faulty
         Returns whether a machine is known to be faulty.
+    statistics
+        Counts and logs what becomes of attempts.
     """
 
     def __init__(
-        self, member: str, attempt_number_base: int, is_faulty: Callable[[str], bool] = lambda _host: False
+        self,
+        member: str,
+        attempt_number_base: int,
+        is_faulty: Callable[[str], bool] = lambda _host: False,
+        statistics: SchedulingStatistics | None = None,
     ) -> None:
         self.member = member
         self.jobs: dict[str, JobState] = {}
@@ -63,6 +70,7 @@
         self.attempt_index = AttemptIndex()
         #: The attempts on each machine: the same mapping as in the index.
         self.attempts_by_host = self.attempt_index.by_host
+        self._statistics = statistics or SchedulingStatistics()
 
     def _add_attempt(self, attempt: Attempt) -> None:
         self.attempt_index.add(attempt)
@@ -148,6 +156,7 @@
             spec, task_index, self._last_attempt_number, host, zone, DesiredState.RUN, self.sequence_number + 1, now
         )
         self._place_attempt(job_state, attempt)
+        self._statistics.record_attempt(SchedulingEvent.START, attempt)
         return attempt
 
     def _place_attempt(self, job_state: JobState, attempt: Attempt) -> None:
@@ -229,6 +238,7 @@
                 # withdrawal proves that the attempt is gone.
                 self._set_desired(attempt, DesiredState.REAP)
             else:
+                self._statistics.record_attempt(SchedulingEvent.NOT_REPORTED, attempt)
                 self._discard_attempt(attempt)
         self._in_transfer.prune(acknowledged_number, confirmed_tasks)
 
@@ -243,8 +253,10 @@
         if phase not in FINISHED_PHASES and (task_index in job_state.done or task_index in job_state.placed):
             self._add_attempt(attempt)
             self._set_desired(attempt, DesiredState.STOP)
+            self._statistics.record_attempt(SchedulingEvent.ADOPTED_TO_STOP, attempt)
         elif phase not in FINISHED_PHASES:
             self._place_attempt(job_state, attempt)
+            self._statistics.record_attempt(SchedulingEvent.ADOPTED, attempt)
         else:
             self._add_attempt(attempt)
             attempt.phase = Phase.QUEUED
@@ -279,7 +291,10 @@
         elif attempt.phase is Phase.ENDED and cause == TaskOutcome.FAILED:
             self.failing_jobs.record_failure(job_state, attempt, now)
         elif attempt.phase is Phase.REFUSED or (attempt.phase is Phase.ENDED and cause in REFUSAL_CAUSES):
+            self._statistics.record_attempt(SchedulingEvent.REFUSED, attempt)
             job_state.exclude(attempt.host, now + EXCLUDED_AFTER_REFUSAL)
+        elif attempt.phase is Phase.GONE:
+            self._statistics.record_attempt(SchedulingEvent.GONE, attempt)
 
     def _record_success(self, job_state: JobState, attempt: Attempt) -> None:
         job_state.longest_failed_run = NO_TIME
--- a/src/ramptide/scheduling/job_state.py
+++ b/src/ramptide/scheduling/job_state.py
@@ -10,7 +10,7 @@
 from ramptide.protocol.jobs import BATCH, SERVICE
 from ramptide.scheduling.attempts import Attempt
 from ramptide.state.jobs import Job
-from ramptide.state.records import PROGRESS_WINDOW_TASKS, Progress
+from ramptide.state.records import PROGRESS_WINDOW_TASKS, Handover, Progress
 from ramptide.state.task_state import NO_TIME, Phase
 
 log = logging.getLogger(__name__)
@@ -39,6 +39,8 @@
     next_new_task: int = 0
     #: Whether a handover of the job to another controller is being written; no task is started meanwhile.
     is_frozen: bool = False
+    #: The handover to this controller whose last message all owners of machines were found to have processed.
+    proven_handover: Handover | None = None
     #: Machines on which no task of the job is started, each with the time at which that ends.
     excluded_until: dict[str, timedelta] = field(default_factory=dict)
     #: Machines on which the job failed since its failures were last cleared.
--- a/tests/test_isolated_errors.py
+++ b/tests/test_isolated_errors.py
@@ -174,7 +174,7 @@
     check_bad_job_is_known(world)
 
 
-@pytest.mark.parametrize("failing", range(5))
+@pytest.mark.parametrize("failing", range(6))
 def test_each_step_of_the_passing_of_time_runs_when_another_one_fails(failing: int) -> None:
     """Guards against an error in one step, such as the expiry of leases, that keeps a controller from stepping down."""
     done: list[int] = []
@@ -197,12 +197,13 @@
         cast(Any, SimpleNamespace(step_down_if_cut_off=step(1))),
         cast(Any, SimpleNamespace(record_expired_leases=lambda _expired, is_confirmed: None)),
         cast(Any, SimpleNamespace(write_log=step(4))),
+        cast(Any, SimpleNamespace(write_log=step(5))),
         IsolatedErrors(SimpleNamespace(now=timedelta(0)), counters),
     )
     passed_time._stop_on_draining_machines = step(2)  # type: ignore[method-assign]
     shard = SimpleNamespace(view=1, leases=SimpleNamespace(expire=step(0)))
     passed_time.process(cast(Any, SimpleNamespace()), cast(Any, shard), timedelta(0))
-    assert done == [number for number in range(5) if number != failing]
+    assert done == [number for number in range(6) if number != failing]
     assert counters == {ERROR_COUNTER: 1}
 
 
