Failing tests: a task starts beside an attempt that is being stopped, or its attempt starts again

- Before the cut the former scheduler starts a task on a machine that loses its links.
The leader learns of that attempt.
- In the cut the machine's owner refuses that attempt, and the former scheduler starts the task elsewhere and hands the job over to the leader, which is still fresh to it.
- The leader adopts the attempt that is over from the status of before the cut.
The first message after the cut shows the living attempt, which the leader stops as a duplicate.
- Seeds 222 and 649: the owner refuses the attempt that is over, the leader starts the task a third time at once, and the stop of the living attempt takes effect 2.3 to 3.3 s later.
This is the incident's order.
- Seeds 79, 403, 642 and 687: the owner, asked for the attempt that is over, starts it again beside the living one.

--- /dev/null
+++ b/tests/test_task_runs_once.py
@@ -0,0 +1,81 @@
+"""A task runs once, whatever its new scheduler still believes of attempts that the former scheduler has given up."""
+
+import json
+from datetime import timedelta
+
+import pytest
+
+from ramptide.protocol.jobs import decode_job_spec
+from ramptide.scheduling.job_scheduler import JobScheduler
+from ramptide.state.jobs import Job
+from ramptide.state.records import JobRecord, Progress
+from ramptide.state.task_state import PhaseName, TaskRow
+from virtual import job_spec
+from virtual.cut_histories import play_cut_history
+
+JOB = "j-1"
+NOW = timedelta(0)
+#: Attempts of the former scheduler, the later one of which it started when the earlier one was over.
+EARLIER, LATER = 7, 8
+
+
+def adopt_two_attempts() -> JobScheduler:
+    """Return the new scheduler of a job that knows an attempt which is over, and then the living one."""
+    spec = decode_job_spec(json.dumps(job_spec(JOB, pieces=1)).encode())
+    scheduler = JobScheduler("c0", 1000)
+    scheduler.adopt_job(Job(JOB, JobRecord(spec, "c0", 1, 0.0, Progress().encode()), 1), NOW)
+    report(scheduler, "vm-1", (JOB, 0, EARLIER, "sent", None))
+    report(scheduler, "vm-2", (JOB, 0, LATER, "running", None))
+    return scheduler
+
+
+def report(scheduler: JobScheduler, host: str, *rows: TaskRow) -> None:
+    scheduler.apply_status(host, "a", list(rows), NOW)
+
+
+def acknowledge_all(scheduler: JobScheduler) -> None:
+    """Receive two acknowledgements of the owner, which reports no task that the scheduler lacks in its last status."""
+    for _ in range(2):
+        scheduler.sequence_number += 1
+        scheduler.apply_acknowledgement(scheduler.sequence_number, lambda _host: [])
+
+
+@pytest.mark.parametrize("phase", ["refused", "gone"])
+def test_task_is_not_started_while_an_attempt_that_is_being_stopped_is_on_a_machine(phase: PhaseName) -> None:
+    scheduler = adopt_two_attempts()
+    job_state = scheduler.jobs[JOB]
+    report(scheduler, "vm-1", (JOB, 0, EARLIER, phase, None))
+    assert (job_state.next_task(), job_state.waiting) == (None, 0)
+    report(scheduler, "vm-2", (JOB, 0, LATER, "ended", "halted"))
+    assert (job_state.next_task(), job_state.waiting) == (0, 1)
+
+
+def test_task_is_not_started_while_one_of_its_attempts_is_reported_and_the_other_one_is_not() -> None:
+    scheduler = adopt_two_attempts()
+    job_state = scheduler.jobs[JOB]
+    report(scheduler, "vm-1")
+    acknowledge_all(scheduler)
+    assert scheduler.desired_tasks("vm-1") is None
+    assert (job_state.next_task(), job_state.waiting) == (None, 0)
+    report(scheduler, "vm-2")
+    acknowledge_all(scheduler)
+    assert (job_state.next_task(), job_state.waiting) == (0, 1)
+
+
+def test_task_is_not_started_while_an_attempt_is_being_stopped_when_the_machine_of_the_other_one_is_returned() -> None:
+    scheduler = adopt_two_attempts()
+    job_state = scheduler.jobs[JOB]
+    scheduler.remove_machine("vm-1")
+    assert (job_state.next_task(), job_state.waiting) == (None, 0)
+    scheduler.remove_machine("vm-2")
+    assert (job_state.next_task(), job_state.waiting) == (0, 1)
+
+
+@pytest.mark.parametrize("seed", [222, 649])
+def test_task_does_not_start_before_its_living_attempt_is_stopped_when_controllers_lose_each_other(seed: int) -> None:
+    assert play_cut_history(seed).invariants.violations == []
+
+
+@pytest.mark.parametrize("seed", [79, 403, 642, 687])
+def test_attempt_that_is_over_is_not_started_again_when_controllers_lose_each_other(seed: int) -> None:
+    assert play_cut_history(seed).invariants.violations == []
