A task is started only once all its attempts are proven gone, not only the one that counts for it

What callers saw: a task ran on two machines. Its user's job was handed over to the leader while the leader was cut off from the other controllers; 0.3 s after the first messages came through, the leader started the task, whose living attempt was stopped 0.6 s after that start.

Cause: `JobState.placed` holds one attempt of each task, and a task was startable as soon as that one was gone. The new scheduler of a job adopts attempts from the statuses of machines that it knows. These may be older than the handover. So it may take an attempt that the former scheduler had given up for the one that counts, and stop the living attempt as a duplicate. Once the attempt turned out to be over, the task was startable at once, although the stop of the living one had not taken effect.

Fix: when the attempt that counts is gone, another attempt of the task that may be on a machine counts in its place, also one that is being stopped; the task is startable only when there is none. `JobScheduler.start`, the one place where a start is decided, checks this against the index of all attempts and refuses (`TaskMayRunError`). So a start depends on no order of messages and on no freshness of a status: every attempt that the scheduler has heard of has to be proven gone, and the barrier of the handover makes sure that it has heard of all.

--- a/src/ramptide/scheduling/attempts.py
+++ b/src/ramptide/scheduling/attempts.py
@@ -1,13 +1,16 @@
 """The attempts of a scheduler's jobs: every start that may be on a machine, and what it uses of its team's limit."""
 
-from collections.abc import Iterable
+from collections.abc import Hashable, Iterable
 from dataclasses import dataclass
 from datetime import timedelta
+from typing import TypeVar
 
 from ramptide.protocol.jobs import JobSpec
 from ramptide.state.amounts import Amounts, TeamAmounts, add_amounts, amounts_of
 from ramptide.state.task_state import FINISHED_PHASES, NO_TIME, DesiredState, Phase, TaskKey
 
+IndexKey = TypeVar("IndexKey", bound=Hashable)
+
 
 @dataclass(slots=True)
 class Attempt:
@@ -36,14 +39,16 @@
 
 
 class AttemptIndex:
-    """Attempts by machine and by job, those that the machines' owners do not report, and what the teams use.
+    """Attempts by machine, job and task, those that the machines' owners do not report, and what the teams use.
 
-    `by_host` and `by_job` change only in `add` and `remove`, and `usage` changes only in `update_usage`.
+    `by_host`, `by_job` and `by_task` change only in `add` and `remove`, and `usage` changes only in `update_usage`.
     """
 
     def __init__(self) -> None:
         self.by_host: dict[str, dict[TaskKey, Attempt]] = {}
         self.by_job: dict[str, dict[TaskKey, Attempt]] = {}
+        #: By job id and task index. A task has several attempts while all but one of them are being stopped or reaped.
+        self.by_task: dict[tuple[str, int], dict[TaskKey, Attempt]] = {}
         #: Attempts that the machine's owner does not report: each either has not reached the owner yet or is gone.
         self.unreported: dict[TaskKey, Attempt] = {}
         #: The CPUs and GPUs that each team's attempts hold.
@@ -53,21 +58,27 @@
         """Return the attempts of a job as a new list, which does not change while attempts are added or removed."""
         return list(self.by_job.get(job_id, {}).values())
 
+    def possible_attempt(self, job_id: str, task_index: int) -> Attempt | None:
+        """Return an attempt of the task that may be on a machine, rather one that is to run; None without any."""
+        attempts = self.by_task.get((job_id, task_index), {}).values()
+        possible = [attempt for attempt in attempts if attempt.phase not in FINISHED_PHASES]
+        return min(possible, key=lambda attempt: attempt.desired is not DesiredState.RUN, default=None)
+
     def add(self, attempt: Attempt) -> None:
         """Add an attempt, as one that the machine's owner does not report yet."""
         key = attempt.key
         self.by_host.setdefault(attempt.host, {})[key] = attempt
         self.by_job.setdefault(attempt.spec.job_id, {})[key] = attempt
+        self.by_task.setdefault(key[:2], {})[key] = attempt
         self.unreported[key] = attempt
         self.update_usage(attempt)
 
     def remove(self, attempt: Attempt) -> None:
         """Remove an attempt from the indexes and from its team's usage."""
         key = attempt.key
-        for index, name in ((self.by_host, attempt.host), (self.by_job, attempt.spec.job_id)):
-            entries = index.get(name)
-            if entries is not None and entries.pop(key, None) is not None and not entries:
-                del index[name]
+        _remove_from(self.by_host, attempt.host, key)
+        _remove_from(self.by_job, attempt.spec.job_id, key)
+        _remove_from(self.by_task, key[:2], key)
         self.unreported.pop(key, None)
         self.update_usage(attempt, is_gone=True)
 
@@ -80,6 +91,13 @@
             add_amounts(self.usage, attempt.spec.team, amounts_of(attempt.spec).times(sign))
 
 
+def _remove_from(index: dict[IndexKey, dict[TaskKey, Attempt]], index_key: IndexKey, key: TaskKey) -> None:
+    """Remove an attempt from one index, and the entry of the index if it was the last one there."""
+    entries = index.get(index_key)
+    if entries is not None and entries.pop(key, None) is not None and not entries:
+        del index[index_key]
+
+
 def sum_amounts(attempts: Iterable[Attempt]) -> dict[str, Amounts]:
     """Return the CPUs and GPUs of the attempts that may be on a machine, by team."""
     total: dict[str, Amounts] = {}
--- a/src/ramptide/scheduling/job_scheduler.py
+++ b/src/ramptide/scheduling/job_scheduler.py
@@ -8,6 +8,7 @@
 from ramptide.protocol.jobs import BATCH
 from ramptide.scheduling.attempts import Attempt, AttemptIndex
 from ramptide.scheduling.attempts_in_transfer import AttemptsInTransfer
+from ramptide.scheduling.errors import TaskMayRunError
 from ramptide.scheduling.failing_jobs import FailingJobs
 from ramptide.scheduling.job_state import JobState
 from ramptide.scheduling.statistics import SchedulingEvent, SchedulingStatistics
@@ -146,7 +147,18 @@
     # Starting and stopping of tasks.
 
     def start(self, job_state: JobState, task_index: int, host: str, zone: str, now: timedelta) -> Attempt:
-        """Start a task on a machine."""
+        """Start a task on a machine.
+
+        This is the only place where a start is decided.
+
+        Raises
+        ------
+        TaskMayRunError
+            If an attempt of the task may be on a machine; nothing is started then.
+        """
+        possible = self.attempt_index.possible_attempt(job_state.job.job_id, task_index)
+        if possible is not None:
+            raise TaskMayRunError(job_state.job.job_id, task_index, possible.number, possible.host)
         self._last_attempt_number += 1
         job_state.last_started_at = now
         if job_state.is_failing:
@@ -155,12 +167,13 @@
         attempt = Attempt(
             spec, task_index, self._last_attempt_number, host, zone, DesiredState.RUN, self.sequence_number + 1, now
         )
+        self._add_attempt(attempt)
         self._place_attempt(job_state, attempt)
         self._statistics.record_attempt(SchedulingEvent.START, attempt)
         return attempt
 
     def _place_attempt(self, job_state: JobState, attempt: Attempt) -> None:
-        self._add_attempt(attempt)
+        """Let an attempt count as that of its task, which is not started while the attempt may be on a machine."""
         job_state.placed[attempt.task_index] = attempt
         job_state.placed_by_zone[attempt.zone] += 1
         self._update_pending(job_state)
@@ -177,14 +190,21 @@
             self.needs_round = True
 
     def _requeue_task(self, attempt: Attempt) -> None:
-        """Make the task of an attempt that has ended or is proven gone startable again, unless the task is done."""
+        """Make the task of an attempt that has ended or is proven gone startable again, unless the task is done.
+
+        While another attempt of the task may be on a machine, that one counts instead, also one that is being stopped.
+        """
         job_state = self.jobs.get(attempt.spec.job_id)
         if job_state is None or job_state.placed.get(attempt.task_index) is not attempt:
             return
         del job_state.placed[attempt.task_index]
         job_state.placed_by_zone[attempt.zone] -= 1
         if attempt.task_index not in job_state.done:
-            heapq.heappush(job_state.retry_tasks, attempt.task_index)
+            other = self.attempt_index.possible_attempt(attempt.spec.job_id, attempt.task_index)
+            if other is not None:
+                self._place_attempt(job_state, other)
+            else:
+                heapq.heappush(job_state.retry_tasks, attempt.task_index)
         self._update_pending(job_state)
         self.needs_round = True
 
@@ -255,6 +275,7 @@
             self._set_desired(attempt, DesiredState.STOP)
             self._statistics.record_attempt(SchedulingEvent.ADOPTED_TO_STOP, attempt)
         elif phase not in FINISHED_PHASES:
+            self._add_attempt(attempt)
             self._place_attempt(job_state, attempt)
             self._statistics.record_attempt(SchedulingEvent.ADOPTED, attempt)
         else:
--- a/tests/test_task_runs_once.py
+++ b/tests/test_task_runs_once.py
@@ -6,6 +6,7 @@
 import pytest
 
 from ramptide.protocol.jobs import decode_job_spec
+from ramptide.scheduling.errors import TaskMayRunError
 from ramptide.scheduling.job_scheduler import JobScheduler
 from ramptide.state.jobs import Job
 from ramptide.state.records import JobRecord, Progress
@@ -71,6 +72,15 @@
     assert (job_state.next_task(), job_state.waiting) == (0, 1)
 
 
+def test_scheduler_refuses_to_start_a_task_while_an_attempt_of_it_may_be_on_a_machine() -> None:
+    scheduler = adopt_two_attempts()
+    job_state = scheduler.jobs[JOB]
+    del job_state.placed[0]
+    with pytest.raises(TaskMayRunError, match="j-1/0"):
+        scheduler.start(job_state, 0, "vm-3", "a", NOW)
+    assert scheduler.desired_tasks("vm-3") is None
+
+
 @pytest.mark.parametrize("seed", [222, 649])
 def test_task_does_not_start_before_its_living_attempt_is_stopped_when_controllers_lose_each_other(seed: int) -> None:
     assert play_cut_history(seed).invariants.violations == []
--- a/tests/virtual/indexes.py
+++ b/tests/virtual/indexes.py
@@ -12,6 +12,7 @@
 from ramptide.controller.controller import Controller
 from ramptide.scheduling.attempts import sum_amounts
 from ramptide.scheduling.job_scheduler import JobScheduler
+from ramptide.state.task_state import FINISHED_PHASES
 from virtual.agent import RUNNING, SUCCEEDED
 from virtual.world import World
 
@@ -78,8 +79,13 @@
     usage = sum_amounts(attempts)
     for team in usage | scheduler.usage():
         assert scheduler.usage().get(team, (0.0, 0.0)) == pytest.approx(usage.get(team, (0.0, 0.0)))
-    indexed = [attempt for entries in scheduler.attempt_index.by_job.values() for attempt in entries.values()]
-    assert sorted(attempt.key for attempt in indexed) == sorted(attempt.key for attempt in attempts)
+    for index in (scheduler.attempt_index.by_job, scheduler.attempt_index.by_task):
+        indexed = [attempt for entries in index.values() for attempt in entries.values()]
+        assert sorted(attempt.key for attempt in indexed) == sorted(attempt.key for attempt in attempts)
+    for attempt in attempts:
+        job_state = scheduler.jobs.get(attempt.spec.job_id)
+        if job_state is not None and attempt.phase not in FINISHED_PHASES and attempt.task_index not in job_state.done:
+            assert attempt.task_index in job_state.placed, "the task of an attempt that may run is not startable"
     reported = {
         tuple(row[:3]) for machine in machine_index.machines.values() if machine.is_reconciled for row in machine.tasks
     }
