An owner starts an attempt only for the scheduler that decided on it

What callers saw: in generated histories, a task ran on two machines after its job was handed over to a leader that had been cut off from the other controllers.

Cause: the new scheduler adopts an attempt from a status of before the cut and asks the machine's owner to keep it running. The owner had given up that attempt meanwhile, at the former scheduler's request, and forgotten it. It could not tell a request to keep an attempt from a request to start one: it made a new entry, and started the attempt again. The former scheduler had started the task elsewhere long before.

Fix: an attempt's number tells the view and the scheduler that decided on it (`AttemptNumbers`, which was part of the change of the view). A desired state for an attempt without an entry is a start only if it comes from that scheduler. Otherwise the attempt is over: the new scheduler knows it only from the owner's own status. The owner reports the machine without it, and the scheduler withdraws the attempt and gives it up after the acknowledgement, as any other that is not reported. No message changes, so builds may be mixed.

The two new tests of the owner fail without the check and pass with it.

--- a/src/ramptide/agents/desired_states.py
+++ b/src/ramptide/agents/desired_states.py
@@ -11,6 +11,7 @@
 from ramptide.agents.attempt_phases import AttemptEvent, advance
 from ramptide.agents.machine_table import MachineTable
 from ramptide.agents.owned_machine import OwnedMachine
+from ramptide.state.attempt_numbers import AttemptNumbers
 from ramptide.state.task_state import DesiredState, DesiredTaskRow, Phase, TaskEntry, TaskKey
 
 __all__ = ["DesiredStates", "MachineCheck"]
@@ -35,10 +36,19 @@
 
 
 class DesiredStates:
-    """Applies the desired states of all schedulers to the machines in a table."""
+    """Applies the desired states of all schedulers to the machines in a table.
 
-    def __init__(self, table: MachineTable) -> None:
+    Parameters
+    ----------
+    table
+        The machines.
+    numbers
+        Tells which scheduler decided on an attempt.
+    """
+
+    def __init__(self, table: MachineTable, numbers: AttemptNumbers) -> None:
         self._table = table
+        self._numbers = numbers
         #: For each controller, the sequence number of its last message whose desired states were applied.
         self.acknowledged: dict[str, int] = {}
 
@@ -68,7 +78,7 @@
     def _apply_to_machine(self, machine: OwnedMachine, desired: _DesiredTask, accepts_tasks: MachineCheck) -> None:
         entry = machine.entries.get(desired.key)
         if entry is None:
-            if desired.state is not DesiredState.RUN:
+            if not self._is_start(desired):
                 return
             entry = self._new_entry(machine, desired, accepts_tasks)
             self._table.add_entry(machine, entry)
@@ -80,6 +90,15 @@
         if desired.state is DesiredState.REAP and entry.phase in (Phase.REFUSED, Phase.GONE):
             del machine.entries[desired.key]
 
+    def _is_start(self, desired: _DesiredTask) -> bool:
+        """Return whether a desired state of an attempt that has no entry here asks for its start.
+
+        A scheduler knows the attempts of others only from the statuses of this owner. One that has no entry any more is
+        over, and its former scheduler may have started the task elsewhere since.
+        """
+        _, _, attempt = desired.key
+        return desired.state is DesiredState.RUN and self._numbers.is_of(desired.requested_by, attempt)
+
     def _new_entry(self, machine: OwnedMachine, desired: _DesiredTask, accepts_tasks: MachineCheck) -> TaskEntry:
         job_id, task_index, attempt = desired.key
         spec = self._table.find_spec(job_id)
--- a/src/ramptide/agents/shard.py
+++ b/src/ramptide/agents/shard.py
@@ -12,6 +12,7 @@
 from ramptide.agents.status import status_of
 from ramptide.cluster.machine_status import MachineStatus
 from ramptide.protocol.cloud import MachineType
+from ramptide.state.attempt_numbers import AttemptNumbers
 from ramptide.state.records import MachineRecord
 
 __all__ = ["Shard"]
@@ -24,6 +25,8 @@
     ----------
     view
         The number of the view, which is also its fencing token.
+    numbers
+        Tells which scheduler decided on an attempt.
     lease_duration
         How long an agent continues without a reply before it stops all tasks.
     heartbeat_interval
@@ -43,10 +46,17 @@
         Gives up the attempts on machines whose leases have expired.
     """
 
-    def __init__(self, view: int, lease_duration: timedelta, heartbeat_interval: timedelta, jobs: JobLookup) -> None:
+    def __init__(
+        self,
+        view: int,
+        numbers: AttemptNumbers,
+        lease_duration: timedelta,
+        heartbeat_interval: timedelta,
+        jobs: JobLookup,
+    ) -> None:
         super().__init__(view, jobs.find_spec)
         self.heartbeats = HeartbeatIntake(self)
-        self.desired_states = DesiredStates(self)
+        self.desired_states = DesiredStates(self, numbers)
         self.commands = CommandDelivery(self, jobs.is_finished)
         self.leases = LeaseExpiry(self, lease_duration, heartbeat_interval)
 
--- a/src/ramptide/controller/view_change.py
+++ b/src/ramptide/controller/view_change.py
@@ -20,15 +20,11 @@
 from ramptide.controller.timings import ControllerTimings
 from ramptide.scheduling.job_scheduler import JobScheduler
 from ramptide.scheduling.statistics import SchedulingStatistics
+from ramptide.state.attempt_numbers import AttemptNumbers
 from ramptide.transport.runtime import Runtime
 
 __all__ = ["ViewChange"]
 
-#: An attempt's number holds the number of the view and the place of the member in it above the bits that a scheduler
-#: counts up, so no two controllers and no two views ever use the same number.
-MAX_MEMBERS = 64
-ATTEMPT_BITS = 24
-
 
 class ViewListener(Protocol):
     """A part whose state belongs to a single view."""
@@ -147,10 +143,10 @@
     def _enter_view(self, view: View, last_possible_replies: dict[str, timedelta]) -> Shard:
         """Build the shard and the scheduler, with the machines and jobs that belong to this controller in the view."""
         state, timings = self._state, self._timings
-        shard = Shard(view.number, timings.lease_duration, timings.heartbeat_interval, self._finished_jobs)
-        place_in_view = sorted(view.members).index(state.member)
-        first_attempt = (view.number * MAX_MEMBERS + place_in_view) << ATTEMPT_BITS
+        numbers = AttemptNumbers(view.number, view.members)
+        shard = Shard(view.number, numbers, timings.lease_duration, timings.heartbeat_interval, self._finished_jobs)
         state.shard = shard
+        first_attempt = numbers.base_of(state.member)
         state.scheduler = JobScheduler(state.member, first_attempt, state.is_quarantined, self._statistics)
         for host, record in state.machines.items():
             self._assignments.add_owned_machine(host, record, last_possible_replies)
--- a/tests/test_controller_communication.py
+++ b/tests/test_controller_communication.py
@@ -26,6 +26,7 @@
 from ramptide.protocol.cloud import MachineType
 from ramptide.protocol.jobs import JobSpec, decode_job_spec
 from ramptide.protocol.settings_file import KeyValueStoreLimits
+from ramptide.state.attempt_numbers import AttemptNumbers
 from ramptide.state.commit_batcher import CommitBatcher
 from ramptide.state.records import MachineRecord
 from ramptide.state.task_state import Phase
@@ -269,7 +270,7 @@
 
 def new_shard() -> Shard:
     spec = decode_job_spec(json.dumps(job_spec("j-1", cores=1.0, pieces=100)).encode())
-    shard = Shard(5, 8 * SECOND, 1 * SECOND, KnownJobs({"j-1": spec}))
+    shard = Shard(5, AttemptNumbers(5, ["c0"]), 8 * SECOND, 1 * SECOND, KnownJobs({"j-1": spec}))
     record = MachineRecord("m", "a", False, 1, 0.0, None, True, "r")
     shard.add_machine("vm-1", record, MachineType(name="m", cpus=8.0, ram_gb=32.0, zones=["a"]), timedelta(0), [])
     return shard
--- a/tests/test_task_runs_once.py
+++ b/tests/test_task_runs_once.py
@@ -8,11 +8,13 @@
 from ramptide.protocol.jobs import decode_job_spec
 from ramptide.scheduling.errors import TaskMayRunError
 from ramptide.scheduling.job_scheduler import JobScheduler
+from ramptide.state.attempt_numbers import AttemptNumbers
 from ramptide.state.jobs import Job
 from ramptide.state.records import JobRecord, Progress
 from ramptide.state.task_state import PhaseName, TaskRow
-from virtual import job_spec
+from virtual import check_indexes, job_spec
 from virtual.cut_histories import play_cut_history
+from virtual.machine_owner import LIVE_JOB, MEMBERS, VIEW, KnownJobs, MachineOwner, heartbeat_body
 
 JOB = "j-1"
 NOW = timedelta(0)
@@ -81,11 +83,43 @@
     assert scheduler.desired_tasks("vm-3") is None
 
 
+def test_numbers_of_attempts_tell_the_view_and_the_scheduler_that_started_them() -> None:
+    numbers, next_numbers = AttemptNumbers(19, ["rig-1", "rig-0"]), AttemptNumbers(20, ["rig-1", "rig-0"])
+    assert (numbers.base_of("rig-1") + 148, numbers.base_of("rig-0") + 205) == (20417872020, 20401094861)
+    assert numbers.is_of("rig-1", 20417872020)
+    assert not numbers.is_of("rig-0", 20417872020)
+    assert not numbers.is_of("rig-2", 20417872020)
+    assert not next_numbers.is_of("rig-1", 20417872020)
+    assert not numbers.is_of("rig-0", numbers.base_of("rig-1"))
+
+
 @pytest.mark.parametrize("seed", [222, 649])
 def test_task_does_not_start_before_its_living_attempt_is_stopped_when_controllers_lose_each_other(seed: int) -> None:
     assert play_cut_history(seed).invariants.violations == []
 
 
+@pytest.mark.parametrize("view", [VIEW - 1, VIEW])
+def test_owner_starts_no_attempt_again_that_is_over_and_that_another_scheduler_started(view: int) -> None:
+    owner = MachineOwner(KnownJobs())
+    attempt = AttemptNumbers(view, MEMBERS).base_of("c0") + 1
+    owner.receive(heartbeat_body("vm-1", VIEW))
+    owner.request_state(10, "run", attempt=attempt)
+    assert owner.receive(heartbeat_body("vm-1", VIEW, sequence_number=2)) == (200, [])
+    assert owner.shard.machines["vm-1"].entries == {}
+    owner.request_state(11, "run")
+    assert owner.receive(heartbeat_body("vm-1", VIEW, sequence_number=3)) == (200, [("launch", f"{LIVE_JOB}/0")])
+
+
 @pytest.mark.parametrize("seed", [79, 403, 642, 687])
 def test_attempt_that_is_over_is_not_started_again_when_controllers_lose_each_other(seed: int) -> None:
     assert play_cut_history(seed).invariants.violations == []
+
+
+@pytest.mark.parametrize("seed", range(700, 712))
+def test_no_rule_is_broken_when_controllers_lose_each_other(seed: int) -> None:
+    assert play_cut_history(seed).invariants.violations == []
+
+
+@pytest.mark.parametrize("seed", [222, 642])
+def test_indexes_are_right_when_controllers_lose_each_other(seed: int) -> None:
+    play_cut_history(seed, check_indexes)
--- a/tests/virtual/cut_histories.py
+++ b/tests/virtual/cut_histories.py
@@ -5,10 +5,11 @@
 """
 
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from functools import partial
 
 from virtual.clock import MILLISECOND, SECOND
+from virtual.histories import schedule_periodic_check
 from virtual.scenarios import restart_controller
 from virtual.users import submit_job
 from virtual.world import World, started_world
@@ -25,8 +26,11 @@
 LEADER_CUT_RATIO = 0.8
 
 
-def play_cut_history(seed: int) -> World:
-    """Play one history and return its world, in which all violations of the invariants are recorded."""
+def play_cut_history(seed: int, periodic_check: Callable[[World], None] | None = None) -> World:
+    """Play one history and return its world, in which all violations of the invariants are recorded.
+
+    `periodic_check` is called every half second.
+    """
     rng = random.Random(seed)
     world = started_world(seed, capacity=MACHINES, heartbeat_interval_s=HEARTBEAT_INTERVAL_S, lease_s=LEASE_S)
     world.cancel_timeout_s = CANCEL_TIMEOUT_S
@@ -39,6 +43,8 @@
         _schedule_cuts(world, rng)
     for second in range(int(LENGTH_S)):
         world.after(second * SECOND, world.invariants.check)
+    if periodic_check is not None:
+        schedule_periodic_check(world, periodic_check, LENGTH_S)
     world.run(LENGTH_S)
     return world
 
--- a/tests/virtual/machine_owner.py
+++ b/tests/virtual/machine_owner.py
@@ -14,6 +14,7 @@
 from ramptide.protocol.agents import COMMANDS_PATH, Heartbeat, decode_heartbeat
 from ramptide.protocol.cloud import MachineType
 from ramptide.protocol.jobs import JobSpec, decode_job_spec
+from ramptide.state.attempt_numbers import AttemptNumbers
 from ramptide.state.records import MachineRecord
 from ramptide.state.task_state import DesiredStateName
 from ramptide.transport.runtime import Request
@@ -25,8 +26,9 @@
 VIEW = 5
 LIVE_JOB, FINISHED_JOB, UNREAD_JOB = "j-1", "j-2", "j-3"
 LIVE_SPEC = decode_job_spec(json.dumps(job_spec(LIVE_JOB, pieces=100, shape="service")).encode())
-#: The attempt number of all tasks.
-ATTEMPT = 9
+MEMBERS = ["c0", "c1"]
+#: The attempt number of all tasks, unless a test gives another: one of the scheduler `c1`.
+ATTEMPT = AttemptNumbers(VIEW, MEMBERS).base_of("c1") + 9
 
 
 class KnownJobs:
@@ -103,7 +105,7 @@
         self.handler = HeartbeatHandler(runtime, self._state, authority, cache, jobs, self.stops, self.statistics)
 
     def _shard_of(self, view: int, hosts: tuple[str, ...]) -> Shard:
-        shard = Shard(view, 8 * SECOND, 1 * SECOND, self.jobs)
+        shard = Shard(view, AttemptNumbers(view, MEMBERS), 8 * SECOND, 1 * SECOND, self.jobs)
         record = MachineRecord("m", "a", False, 1, 0.0, None, True, "r")
         machine_type = MachineType(name="m", cpus=8.0, ram_gb=32.0, zones=["a"])
         for host in hosts:
@@ -141,9 +143,14 @@
         self.handler.receive_direct_heartbeat(decode_heartbeat(body))
 
     def request_state(
-        self, sequence_number: int, state: DesiredStateName, job_id: str = LIVE_JOB, sender: str = "c1"
+        self,
+        sequence_number: int,
+        state: DesiredStateName,
+        job_id: str = LIVE_JOB,
+        sender: str = "c1",
+        attempt: int = ATTEMPT,
     ) -> None:
         """Receive the message in which a scheduler asks for a state of a job's first task on the first machine."""
         host = next(iter(self.shard.machines))
-        rows = {host: [(job_id, 0, ATTEMPT, state, 0.0)]}
+        rows = {host: [(job_id, 0, attempt, state, 0.0)]}
         self.shard.desired_states.apply(sender, sequence_number, rows, lambda _machine: True)
