--- a/tests/test_task_runs_once.py
+++ b/tests/test_task_runs_once.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from ramptide.placement.bin_packing import choose_room, empty_room
+from ramptide.protocol.cloud import MachineType
 from ramptide.protocol.jobs import decode_job_spec
 from ramptide.scheduling.errors import TaskMayRunError
 from ramptide.scheduling.job_scheduler import JobScheduler
@@ -18,13 +20,17 @@
 
 JOB = "j-1"
 NOW = timedelta(0)
+ZONES = {"vm-1": "a", "vm-2": "b"}
 #: Attempts of the former scheduler, the later one of which it started when the earlier one was over.
 EARLIER, LATER = 7, 8
 
 
-def adopt_two_attempts() -> JobScheduler:
-    """Return the new scheduler of a job that knows an attempt which is over, and then the living one."""
-    spec = decode_job_spec(json.dumps(job_spec(JOB, pieces=1)).encode())
+def adopt_two_attempts(**fields: object) -> JobScheduler:
+    """Return the new scheduler of a job that knows an attempt which is over, and then the living one.
+
+    `fields`: fields of the job specification.
+    """
+    spec = decode_job_spec(json.dumps(job_spec(JOB, **({"pieces": 1} | fields))).encode())
     scheduler = JobScheduler("c0", 1000)
     scheduler.adopt_job(Job(JOB, JobRecord(spec, "c0", 1, 0.0, Progress().encode()), 1), NOW)
     report(scheduler, "vm-1", (JOB, 0, EARLIER, "sent", None))
@@ -33,7 +39,7 @@
 
 
 def report(scheduler: JobScheduler, host: str, *rows: TaskRow) -> None:
-    scheduler.apply_status(host, "a", list(rows), NOW)
+    scheduler.apply_status(host, ZONES[host], list(rows), NOW)
 
 
 def acknowledge_all(scheduler: JobScheduler) -> None:
@@ -93,6 +99,13 @@
     assert not numbers.is_of("rig-0", numbers.base_of("rig-1"))
 
 
+def test_task_is_not_started_in_another_zone_than_an_attempt_of_its_job_that_is_being_stopped() -> None:
+    job_state = adopt_two_attempts(pieces=3, oneZone=True).jobs[JOB]
+    machine_type = MachineType(name="m", cpus=8.0, ram_gb=32.0, zones=["a", "b"])
+    rooms = [empty_room(machine_type, zone, False, f"vm-{zone}") for zone in machine_type.zones]
+    assert choose_room(job_state.job.spec, rooms, job_state.placed_by_zone) is None
+
+
 @pytest.mark.parametrize("seed", [222, 649])
 def test_task_does_not_start_before_its_living_attempt_is_stopped_when_controllers_lose_each_other(seed: int) -> None:
     assert play_cut_history(seed).invariants.violations == []
