--- a/src/ramptide/scheduling/job_scheduler.py
+++ b/src/ramptide/scheduling/job_scheduler.py
@@ -258,7 +258,8 @@
                 # withdrawal proves that the attempt is gone.
                 self._set_desired(attempt, DesiredState.REAP)
             else:
-                self._statistics.record_attempt(SchedulingEvent.NOT_REPORTED, attempt)
+                if attempt.phase not in FINISHED_PHASES:
+                    self._statistics.record_attempt(SchedulingEvent.NOT_REPORTED, attempt)
                 self._discard_attempt(attempt)
         self._in_transfer.prune(acknowledged_number, confirmed_tasks)
 
