--- a/src/ramptide/scheduling/statistics.py
+++ b/src/ramptide/scheduling/statistics.py
@@ -45,8 +45,8 @@
     REFUSED = "refused"
     #: The attempt is certainly no longer on its machine, and has no result.
     GONE = "gone"
-    #: The owner of the machine has processed the withdrawal of the attempt, and does not report the attempt, of which no
-    #: end was reported before.
+    #: The owner of the machine has processed the withdrawal of the attempt and does not report it; its end was not
+    #: reported before.
     NOT_REPORTED = "not_reported"
 
 
