The log tells who schedules a job from the start, and how long a job had waited when it was handed over

Need: the lines told who scheduled a job only once it was handed over or a task started, and not why it was handed over.

Change: an event `assigned` of the line `scheduling`, and the time that the job had waited in the lines of handovers.

--- a/src/ramptide/controller/assignments.py
+++ b/src/ramptide/controller/assignments.py
@@ -55,20 +55,21 @@
         if is_known:
             scheduler.reap_recorded_results(job.job_id)
             return
-        self._record_takeover(job)
+        self._record_assignment(job)
         # The machines' statuses from other members may date from before this controller became the job's scheduler and
         # yet satisfy all that a handover waits for, so the tasks that they show are applied before any task is started.
         for host in self._machine_index.hosts_of_job(job.job_id):
             self._apply_status(scheduler, host)
 
-    def _record_takeover(self, job: Job) -> None:
+    def _record_assignment(self, job: Job) -> None:
         handover = job.record.handover
-        if handover is not None and handover.view == self._state.require_view().number:
-            example = f"{job.job_id} from {handover.member} at revision {job.mod_revision}"
-            self._statistics.record(
-                SchedulingEvent.TAKEN_OVER,
-                f"{example} after message {handover.sequence_number} of view {handover.view}",
-            )
+        if handover is None or handover.view != self._state.require_view().number:
+            self._statistics.record(SchedulingEvent.ASSIGNED, f"{job.job_id} at revision {job.mod_revision}")
+            return
+        example = f"{job.job_id} from {handover.member} at revision {job.mod_revision}"
+        self._statistics.record(
+            SchedulingEvent.TAKEN_OVER, f"{example} after message {handover.sequence_number} of view {handover.view}"
+        )
 
     def suspend(self, job_id: str) -> None:
         """Start no task of a job here before the next view, as a change of its record could not be applied."""
--- a/src/ramptide/scheduling/handover.py
+++ b/src/ramptide/scheduling/handover.py
@@ -172,12 +172,15 @@
         self._commit_batcher.add(transaction, on_result)
 
     def _record_result(self, job_state: JobState, view: View, handover: Handover, result: TransactionResult) -> None:
-        event = EVENTS_BY_OUTCOME[result.outcome]
+        now = self._runtime.now
+        waited_s = (now - (job_state.waiting_since or now)).total_seconds()
         example = (
-            f"{job_state.job.job_id} to {view.leader} after message {handover.sequence_number} of view {view.number}"
+            f"{job_state.job.job_id} to {view.leader} after message {handover.sequence_number} of view {view.number} "
+            f"waited {waited_s:.1f} s"
         )
         self._statistics.record(
-            event, f"{example} at revision {result.commit_revision}" if result.is_applied else example
+            EVENTS_BY_OUTCOME[result.outcome],
+            f"{example} at revision {result.commit_revision}" if result.is_applied else example,
         )
 
     def _unfreeze(self, job_state: JobState, view: View) -> None:
--- a/src/ramptide/scheduling/statistics.py
+++ b/src/ramptide/scheduling/statistics.py
@@ -23,6 +23,8 @@
 class SchedulingEvent(Enum):
     """An event of a scheduler; the value is the label in the metrics and the log."""
 
+    #: This controller schedules a job that was not handed over in this view.
+    ASSIGNED = "assigned"
     #: This controller's handover of a job was committed.
     HANDED_OVER = "handed_over"
     #: This controller's handover of a job certainly had no effect.
--- a/tests/test_scheduling_statistics.py
+++ b/tests/test_scheduling_statistics.py
@@ -46,7 +46,9 @@
     (handed_over,) = [line for line in caplog.messages if "event=handed_over " in line]
     (taken_over,) = [line for line in caplog.messages if "event=taken_over " in line]
     (proven,) = [line for line in caplog.messages if "event=handover_proven " in line]
+    assert any("event=assigned " in line and "j-1 at revision " in line for line in caplog.messages)
     assert f"j-1 to {leader} after message " in handed_over
+    assert " of view 1 waited 1." in handed_over
     assert f"j-1 from {former} at revision " in taken_over
     assert f"j-1 from {former} at revision " in proven
     assert all(f"{name}:" in proven for name in world.controller_names)
