Tests on loopback reserve their ports, so that no two processes get the same one

Cause: `free_port` returned the port of a socket that it had closed again, so a port could be handed out twice, or be taken by an outgoing connection before a server listened on it.

Evidence: the test's log has `cannot listen: Address already in use` twice, though c2 was restarted once: it had not listened at its first start either. The check of its health before passed, so another process answered on its port. The service itself is not concerned.

Change: a port stays bound, without listening, until the process of the tests ends. A server that reuses addresses may listen on it, and no other socket gets it.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -13,12 +13,21 @@
 import pytest
 
 from virtual import job_spec
-from virtual.loopback import LoopbackWorld
+from virtual.loopback import LoopbackWorld, free_port
 
 #: The longest time that a job may wait beside room once the faults are over, in seconds.
 MAX_WAIT_S = 90.0
 
 
+def test_port_of_a_controller_that_is_down_is_not_taken_by_another_socket() -> None:
+    address = ("127.0.0.1", free_port())
+    with socket.socket() as other, pytest.raises(OSError, match="in use"):
+        other.bind(address)
+    for _ in range(2):
+        with socket.create_server(address), socket.create_connection(address, 5):
+            pass
+
+
 @pytest.fixture
 def world(tmp_path: Path) -> Iterator[LoopbackWorld]:
     world = LoopbackWorld(tmp_path)
--- a/tests/virtual/loopback.py
+++ b/tests/virtual/loopback.py
@@ -36,15 +36,25 @@
 FD_LIMIT = 200
 
 
+#: The sockets that keep the ports reserved until the process of the tests ends.
+_reservations: list[socket.socket] = []
+
+
 def free_port() -> int:
-    """Return a TCP port that was free a moment ago."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+    """Return a free TCP port that only a server which listens on it can use from now on.
+
+    While no server listens, as when a controller is down, no outgoing connection gets the port.
+    """
+    sock = socket.socket()
+    # A server that reuses addresses may listen on a port that another such socket is bound to without listening.
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(("127.0.0.1", 0))
+    _reservations.append(sock)
+    return int(sock.getsockname()[1])
 
 
 def free_address() -> str:
-    """Return a loopback address with a port that was free a moment ago."""
+    """Return a loopback address with a free port that is reserved for a server."""
     return f"127.0.0.1:{free_port()}"
 
 
